--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -1,7 +1,8 @@
 # Warnings apply to our own targets only, so that library headers can not break the build.
 add_library(pf_warnings INTERFACE)
 # g++ 12 reports Asio's own allocation of coroutine frames as mismatched new and delete.
-target_compile_options(pf_warnings INTERFACE -Wall -Wextra -Wshadow -Wnon-virtual-dtor -Werror
+target_compile_options(pf_warnings INTERFACE -Wall -Wextra -Wshadow -Wnon-virtual-dtor
+                       $<$<BOOL:${PF_WERROR}>:-Werror>
                        $<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete>)
 target_include_directories(pf_warnings INTERFACE ${CMAKE_SOURCE_DIR}/src)
 target_link_libraries(pf_warnings INTERFACE Threads::Threads)
@@ -30,6 +31,16 @@
     endif()
 endfunction()
 
+# Adds the library pf_platform from platform/, the only folder that knows the platform's names.
+function(add_platform)
+    cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cpp)
+    add_library(pf_platform STATIC ${sources})
+    list(TRANSFORM ARG_DEPENDS PREPEND pf_)
+    target_link_libraries(pf_platform PUBLIC ${ARG_DEPENDS} PRIVATE pf_warnings)
+    target_include_directories(pf_platform PUBLIC ${CMAKE_SOURCE_DIR})
+endfunction()
+
 # Each folder under standins/ is one test program; standins/common is a library that they share.
 function(add_standins)
     file(GLOB common CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/standins/common/*.cpp)
@@ -56,7 +67,8 @@
 
 # Adds one test program for each folder under tests/ that has the name of a module.
 function(add_module_tests)
-    foreach(name base metrics coord rules rollout settings slo store wire http batch node cli)
+    foreach(name base metrics coord rules rollout settings slo store wire http batch node fleet serving
+                 platform cli)
         file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cpp)
         if(sources)
             add_executable(test_${name} ${sources} ${CMAKE_SOURCE_DIR}/tests/main.cpp)
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -12,6 +12,8 @@
 int runRulesApply(const CommandArguments &arguments);
 int runKeyNew(const CommandArguments &arguments);
 int runServe(const CommandArguments &arguments);
+int runFleetServe(const CommandArguments &arguments);
+int runFleetCheck(const CommandArguments &arguments);
 int runJobSubmit(const CommandArguments &arguments);
 int runJobStatus(const CommandArguments &arguments);
 int runJobResults(const CommandArguments &arguments);
--- a/src/cli/commandtable.cpp
+++ b/src/cli/commandtable.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::array Commands{
         Command{"serve", "runs an instance", &runServe},
+        Command{"fleet serve", "runs an instance on the platform's store", &runFleetServe},
+        Command{"fleet check", "checks the settings of such an instance", &runFleetCheck},
         Command{"status", "shows the instances and endpoints", &runStatus},
         Command{"report burn", "shows how fast the error budgets are used up", &runReportBurn},
         Command{"rules check", "checks a rule file without the store", &runRulesCheck},
--- /dev/null
+++ b/src/fleet/servingconfig.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "fleet/servingorganisation.h"
+#include "fleet/servingroute.h"
+#include "fleet/servingservice.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace pistachiofall {
+
+/// One version of the configuration that operators write, indexed for requests. Immutable once it
+/// is shared.
+class ServingConfig
+{
+public:
+    using Ptr = std::shared_ptr<const ServingConfig>;
+
+    /// Indexes the routes, services and organisations.
+    static Ptr create(std::uint64_t version, std::vector<ServingRoute> routes,
+                      std::vector<ServingService> services,
+                      std::vector<ServingOrganisation> organisations);
+
+    std::uint64_t version() const { return m_version; }
+
+    /// The route of the host with the longest prefix that begins the path, or null.
+    const ServingRoute *findRoute(std::string_view host, std::string_view path) const;
+
+    /// The organisation that holds the key, or null.
+    const ServingOrganisation *organisationOfKey(std::string_view key) const;
+    const ServingOrganisation *organisation(const std::string &name) const;
+    const ServingService *service(const std::string &name) const;
+
+    /// Whether requests need a key at all.
+    bool hasOrganisations() const { return !m_organisations.empty(); }
+    const std::map<std::string, ServingOrganisation> &organisations() const
+    {
+        return m_organisations;
+    }
+
+private:
+    ServingConfig() = default;
+
+    std::uint64_t m_version = 0;
+    std::unordered_map<std::string, std::vector<ServingRoute>> m_routesByHost;
+    std::map<std::string, ServingService> m_services;
+    std::map<std::string, ServingOrganisation> m_organisations;
+    std::unordered_map<std::string, const ServingOrganisation *> m_organisationByKey;
+};
+
+/// The service that a request of the route goes to. The same key always gets the same service, so
+/// that a request that is sent again stays within its split.
+std::string_view chooseService(const ServingRoute &route, std::string_view requestKey);
+
+} // namespace pistachiofall
--- a/src/http/answerreader.cpp
+++ b/src/http/answerreader.cpp
@@ -28,10 +28,12 @@
 struct AnswerReader::Parser : MessageParser<false>
 { };
 
-AnswerReader::AnswerReader(std::shared_ptr<HttpStream> stream, std::string_view method)
+AnswerReader::AnswerReader(std::shared_ptr<HttpStream> stream, std::string_view method,
+                           bool acceptsEndByClose)
     : m_stream(std::move(stream))
     , m_parser(std::make_unique<Parser>())
     , m_isHeadRequest(method == "HEAD")
+    , m_acceptsEndByClose(acceptsEndByClose)
 {
     beginMessage();
 }
@@ -44,10 +46,22 @@
     m_parser->parser->skip(m_isHeadRequest);
 }
 
+bool AnswerReader::endsByClose() const
+{
+    return m_acceptsEndByClose && m_parser->parser->is_header_done()
+            && m_parser->parser->need_eof() && m_parser->buffer.size() == 0;
+}
+
 asio::awaitable<Result<Done>> AnswerReader::fillBuffer(HttpStream::TimePoint deadline)
 {
     const auto space = m_parser->buffer.prepare(Parser::MaxPieceBytes);
     const IoOutcome outcome = co_await m_stream->readSome(space, deadline);
+    if (outcome.error == asio::error::eof && endsByClose()) {
+        boost::system::error_code error;
+        m_parser->parser->put_eof(error);
+        if (!error)
+            co_return Done{};
+    }
     if (outcome.error)
         co_return readError(outcome.error);
     m_parser->buffer.commit(outcome.bytes);
@@ -85,7 +99,7 @@
     if (head.status == 101)
         co_return Error{ErrorCode::ProtocolError, "the endpoint switched to another protocol"};
     // The end of such an answer is the end of the connection, also when that broke.
-    if (!m_parser->parser->is_done() && m_parser->parser->need_eof())
+    if (!m_acceptsEndByClose && !m_parser->parser->is_done() && m_parser->parser->need_eof())
         co_return Error{ErrorCode::ProtocolError, "the answer has neither a length nor chunks"};
     for (const auto &field : m_parser->parser->get()) {
         const auto name = field.name_string();
--- a/src/http/answerreader.h
+++ b/src/http/answerreader.h
@@ -18,7 +18,9 @@
 class AnswerReader
 {
 public:
-    AnswerReader(std::shared_ptr<HttpStream> stream, std::string_view method);
+    /// Without the last argument, an answer with neither a length nor chunks is a ProtocolError.
+    AnswerReader(std::shared_ptr<HttpStream> stream, std::string_view method,
+                 bool acceptsEndByClose = false);
     ~AnswerReader();
     AnswerReader(const AnswerReader &) = delete;
     AnswerReader &operator=(const AnswerReader &) = delete;
@@ -41,10 +43,13 @@
     boost::asio::awaitable<Result<Done>> fillBuffer(HttpStream::TimePoint deadline);
     boost::asio::awaitable<Result<Done>> parseHead(HttpStream::TimePoint deadline);
     void beginMessage();
+    /// Whether the end of the connection is now the end of the answer.
+    bool endsByClose() const;
 
     std::shared_ptr<HttpStream> m_stream;
     std::unique_ptr<Parser> m_parser;
     bool m_isHeadRequest;
+    bool m_acceptsEndByClose;
     bool m_hasAnyByte = false;
 };
 
--- a/src/http/endpointcall.cpp
+++ b/src/http/endpointcall.cpp
@@ -157,7 +157,7 @@
 // Sends the request on the attached stream and reads the head of the answer.
 asio::awaitable<CallResult<AnswerHead>> EndpointCall::Data::exchange()
 {
-    reader.emplace(stream, request->method);
+    reader.emplace(stream, request->method, options.acceptsEndByClose);
     std::optional<CallFailure> failure = co_await write();
     if (failure)
         co_return std::move(*failure);
--- a/src/http/endpointrequesthead.cpp
+++ b/src/http/endpointrequesthead.cpp
@@ -14,6 +14,14 @@
     return character > ' ' && character < 0x7f;
 }
 
+void appendFields(std::string &head, const HttpHeaders &headers)
+{
+    for (const HttpHeader &field : headers) {
+        if (isSendable(field))
+            head += field.name + ": " + field.value + "\r\n";
+    }
+}
+
 } // namespace
 
 Result<std::string> formatRequestHead(const EndpointRequest &request, const SocketAddress &address,
@@ -25,10 +33,15 @@
     if (!target || !std::all_of(request.target.begin(), request.target.end(), isTargetCharacter))
         return Error{ErrorCode::InvalidArgument,
                      "a target must begin with '/' and have no spaces or control characters"};
-    std::string head = request.method + ' ' + endpointTarget(target->path, target->query)
-            + " HTTP/1.1\r\nHost: " + address.toString() + "\r\n";
-    for (const HttpHeader &field : endpointHeaders(request.headers))
-        head += field.name + ": " + field.value + "\r\n";
+    std::string head = request.method + ' ';
+    if (request.form == RequestForm::Verbatim) {
+        head += request.target + " HTTP/1.1\r\n";
+        appendFields(head, request.headers);
+    } else {
+        head += endpointTarget(target->path, target->query) + " HTTP/1.1\r\nHost: "
+                + address.toString() + "\r\n";
+        appendFields(head, endpointHeaders(request.headers));
+    }
     if (!request.body.empty() || request.method != "GET")
         head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     if (!keepsAlive)
--- a/src/node/coordination.cpp
+++ b/src/node/coordination.cpp
@@ -2,7 +2,7 @@
 
 #include "coord/heartbeattargets.h"
 #include "coord/ruleswatchers.h"
-#include "node/sleep.h"
+#include "wire/sleep.h"
 #include "wire/body.h"
 
 #include <algorithm>
--- a/src/node/endpointdrivers.cpp
+++ b/src/node/endpointdrivers.cpp
@@ -1,6 +1,6 @@
 #include "node/endpointdrivers.h"
 
-#include "node/sleep.h"
+#include "wire/sleep.h"
 #include "rollout/rollouttimes.h"
 #include "wire/body.h"
 
--- a/src/node/endpointownership.cpp
+++ b/src/node/endpointownership.cpp
@@ -1,6 +1,6 @@
 #include "node/endpointownership.h"
 
-#include "node/sleep.h"
+#include "wire/sleep.h"
 #include "wire/body.h"
 
 #include <map>
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -1,7 +1,7 @@
 #include "node/forwarder.h"
 
 #include "node/endpointcandidates.h"
-#include "node/sleep.h"
+#include "wire/sleep.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/node/instance.cpp
+++ b/src/node/instance.cpp
@@ -25,7 +25,7 @@
 #include "node/processcost.h"
 #include "node/ratechanges.h"
 #include "node/rolloutcoordinator.h"
-#include "node/sleep.h"
+#include "wire/sleep.h"
 #include "node/slotclient.h"
 #include "node/slotservice.h"
 #include "wire/body.h"
--- a/src/node/limitclient.cpp
+++ b/src/node/limitclient.cpp
@@ -3,7 +3,7 @@
 #include "base/overloaded.h"
 #include "coord/grantwindow.h"
 #include "node/ratechanges.h"
-#include "node/sleep.h"
+#include "wire/sleep.h"
 #include "wire/body.h"
 
 #include <algorithm>
--- a/src/node/listfollower.cpp
+++ b/src/node/listfollower.cpp
@@ -1,7 +1,7 @@
 #include "node/listfollower.h"
 
 #include "node/instancelistcodec.h"
-#include "node/sleep.h"
+#include "wire/sleep.h"
 #include "wire/body.h"
 
 #include <algorithm>
--- a/src/node/objectfollower.cpp
+++ b/src/node/objectfollower.cpp
@@ -1,7 +1,7 @@
 #include "node/objectfollower.h"
 
 #include "coord/coordtimes.h"
-#include "node/sleep.h"
+#include "wire/sleep.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/node/slotclient.cpp
+++ b/src/node/slotclient.cpp
@@ -1,6 +1,6 @@
 #include "node/slotclient.h"
 
-#include "node/sleep.h"
+#include "wire/sleep.h"
 #include "wire/body.h"
 
 #include <algorithm>
--- a/src/node/tablefollower.cpp
+++ b/src/node/tablefollower.cpp
@@ -3,7 +3,7 @@
 #include "base/log.h"
 #include "coord/shardtablecodec.h"
 #include "coord/tableplanner.h"
-#include "node/sleep.h"
+#include "wire/sleep.h"
 #include "wire/body.h"
 
 #include <algorithm>
--- /dev/null
+++ b/src/serving/fleetpeers.cpp
@@ -0,0 +1,368 @@
+#include "serving/fleetpeers.h"
+
+#include "wire/body.h"
+#include "wire/sleep.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace pistachiofall {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Between two reports to one peer: what a small fleet spends on them stays far below a tenth of an
+// instance's processor share, and the interval grows with the number of peers.
+constexpr milliseconds LeastInterval{25};
+constexpr milliseconds IntervalPerPeer{3};
+constexpr milliseconds Heartbeat{200};
+constexpr milliseconds CallTimeout{400};
+constexpr milliseconds PauseAfterFailure{200};
+// Five heartbeats.
+constexpr milliseconds SilenceLimit{1000};
+constexpr milliseconds SilencePoll{100};
+constexpr milliseconds SeedPause{300};
+// A peer that never answers while others do.
+constexpr milliseconds UnknownStoreAge{60000};
+
+PeerClientSettings clientSettings()
+{
+    PeerClientSettings settings;
+    settings.connectTimeout = CallTimeout;
+    // A connection may go silent while new ones work.
+    settings.probeAfter = milliseconds{300};
+    settings.closeAfter = milliseconds{300};
+    return settings;
+}
+
+wire::FleetMemberT encode(const FleetPeer &peer)
+{
+    wire::FleetMemberT member;
+    member.instance = peer.name;
+    member.address = peer.address.toString();
+    member.failureDomain = peer.failureDomain;
+    member.takesCallers = peer.takesCallers;
+    return member;
+}
+
+} // namespace
+
+struct FleetPeers::Member
+{
+    Member(FleetPeer fleetPeer, const asio::any_io_executor &executor)
+        : peer(std::move(fleetPeer))
+        , timer(executor)
+    { }
+
+    FleetPeer peer;
+    asio::steady_timer timer;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t sentChange = 0;
+    SteadyTime heard{};
+    milliseconds uptime{0};
+    milliseconds storeAge = UnknownStoreAge;
+    bool isLeaving = false;
+    bool isAlive = false;
+    bool isRemoved = false;
+    bool isIdle = false;
+};
+
+FleetPeers::FleetPeers(const asio::any_io_executor &executor, const Clock &clock, DecisionLog &log,
+                       MetricsRegistry &metrics, FleetPeer self, std::uint64_t incarnation)
+    : m_executor(executor)
+    , m_clock(clock)
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_started(clock.now())
+    , m_client(executor, metrics, clientSettings())
+{ }
+
+void FleetPeers::setCallbacks(Callbacks callbacks)
+{
+    m_callbacks = std::move(callbacks);
+}
+
+void FleetPeers::start(std::vector<SocketAddress> seeds)
+{
+    m_hasStarted = true;
+    for (const auto &[name, member] : m_members)
+        asio::co_spawn(m_executor, reportTo(member), asio::detached);
+    for (SocketAddress &seed : seeds) {
+        if (seed != m_self.address)
+            asio::co_spawn(m_executor, askSeed(std::move(seed)), asio::detached);
+    }
+    asio::co_spawn(m_executor, watchSilence(), asio::detached);
+}
+
+milliseconds FleetPeers::leastInterval() const
+{
+    const auto peers = static_cast<std::int64_t>(m_members.size());
+    return std::max<milliseconds>(LeastInterval, IntervalPerPeer * peers);
+}
+
+void FleetPeers::addMember(const FleetPeer &peer)
+{
+    if (peer.name == m_self.name)
+        return;
+    const auto found = m_members.find(peer.name);
+    if (found != m_members.end()) {
+        if (found->second->peer.address == peer.address)
+            return;
+        // Another machine under the name.
+        found->second->isRemoved = true;
+        found->second->timer.cancel();
+        m_members.erase(found);
+    }
+    const auto member = std::make_shared<Member>(peer, m_executor);
+    m_members[peer.name] = member;
+    m_log.info("peer_known", {{"peer", peer.name},
+                              {"address", peer.address.toString()},
+                              {"peers", std::uint64_t{m_members.size()}}});
+    if (m_hasStarted)
+        asio::co_spawn(m_executor, reportTo(member), asio::detached);
+    m_callbacks.membersChanged();
+}
+
+void FleetPeers::removeMember(const std::string &name)
+{
+    const auto found = m_members.find(name);
+    if (found == m_members.end())
+        return;
+    found->second->isRemoved = true;
+    found->second->timer.cancel();
+    m_members.erase(found);
+    m_log.info("peer_removed", {{"peer", name}});
+    m_callbacks.membersChanged();
+}
+
+std::shared_ptr<FleetPeers::Member> FleetPeers::learn(const wire::FleetMemberT &member)
+{
+    if (member.instance == m_self.name)
+        return nullptr;
+    const auto found = m_members.find(member.instance);
+    if (found != m_members.end() && found->second->peer.address.toString() == member.address)
+        return found->second;
+    const auto address = SocketAddress::parse(member.address);
+    if (!isOk(address)) {
+        m_log.warning("peer_address_unreadable",
+                      {{"peer", member.instance}, {"address", member.address}});
+        return nullptr;
+    }
+    addMember({member.instance, valueOf(address), member.failureDomain, member.takesCallers});
+    return m_members[member.instance];
+}
+
+void FleetPeers::noteChange()
+{
+    ++m_change;
+    for (const auto &[name, member] : m_members) {
+        if (member->isIdle)
+            member->timer.cancel();
+    }
+}
+
+void FleetPeers::setLeaving()
+{
+    m_isLeaving = true;
+    noteChange();
+}
+
+wire::FleetReportT FleetPeers::makeReport()
+{
+    wire::FleetReportT report;
+    report.sender = std::make_unique<wire::FleetMemberT>(encode(m_self));
+    report.incarnation = m_incarnation;
+    report.sequence = ++m_sequence;
+    report.leaving = m_isLeaving;
+    const auto uptime = std::chrono::duration_cast<milliseconds>(m_clock.now() - m_started);
+    report.uptimeMs = static_cast<std::uint32_t>(uptime.count());
+    m_callbacks.fillReport(report);
+    return report;
+}
+
+asio::awaitable<void> FleetPeers::reportTo(std::shared_ptr<Member> member)
+{
+    while (!member->isRemoved) {
+        const auto begin = m_clock.now();
+        member->sentChange = m_change;
+        wire::BodyUnion body;
+        body.Set(makeReport());
+        const auto reply =
+                co_await m_client.call(member->peer.address, std::move(body), CallTimeout);
+        if (!isOk(reply)) {
+            co_await sleepFor(PauseAfterFailure);
+            continue;
+        }
+        if (const auto *message = valueOf(reply).AsFleetReportReply())
+            takeReply(*message, member->peer.name);
+        const auto interval = leastInterval();
+        const auto spent = std::chrono::duration_cast<milliseconds>(m_clock.now() - begin);
+        if (spent < interval)
+            co_await sleepFor(interval - spent);
+        if (member->sentChange != m_change || member->isRemoved)
+            continue;
+        member->timer.expires_at(begin + Heartbeat);
+        member->isIdle = true;
+        boost::system::error_code ignored;
+        co_await member->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        member->isIdle = false;
+    }
+}
+
+asio::awaitable<void> FleetPeers::askSeed(SocketAddress seed)
+{
+    for (;;) {
+        wire::BodyUnion body;
+        body.Set(makeReport());
+        const auto reply = co_await m_client.call(seed, std::move(body), CallTimeout);
+        if (isOk(reply)) {
+            if (const auto *message = valueOf(reply).AsFleetReportReply())
+                takeReply(*message, seed.toString());
+            co_return;
+        }
+        co_await sleepFor(SeedPause);
+    }
+}
+
+void FleetPeers::takeReply(const wire::FleetReportReplyT &reply, const std::string &peer)
+{
+    for (const auto &member : reply.members)
+        learn(*member);
+    m_callbacks.configSeen(peer, reply.configVersion);
+}
+
+wire::FleetReportReplyT FleetPeers::handleReport(const wire::FleetReportT &report)
+{
+    wire::FleetReportReplyT reply;
+    if (!report.sender)
+        return reply;
+    const auto member = learn(*report.sender);
+    // Members are told to those who have just started.
+    if (report.uptimeMs < 3000) {
+        for (const auto &[name, each] : m_members)
+            reply.members.push_back(std::make_unique<wire::FleetMemberT>(encode(each->peer)));
+        reply.members.push_back(std::make_unique<wire::FleetMemberT>(encode(m_self)));
+    }
+    if (!member)
+        return reply;
+    const bool isRestarted = member->incarnation != 0 && member->incarnation != report.incarnation;
+    if (member->incarnation == report.incarnation && report.sequence < member->sequence)
+        return reply;
+    member->incarnation = report.incarnation;
+    member->sequence = report.sequence;
+    member->heard = m_clock.now();
+    member->uptime = milliseconds{report.uptimeMs};
+    member->storeAge = milliseconds{report.storeAgeMs};
+    if (!member->isAlive)
+        m_log.info("peer_heard", {{"peer", member->peer.name},
+                                  {"incarnation", report.incarnation},
+                                  {"uptime_ms", std::uint64_t{report.uptimeMs}}});
+    member->isAlive = true;
+    if (report.leaving && !member->isLeaving)
+        m_log.info("peer_leaving", {{"peer", member->peer.name}});
+    member->isLeaving = report.leaving;
+    m_callbacks.reported(member->peer.name, report, isRestarted);
+    m_callbacks.configSeen(member->peer.name, report.configVersion);
+    return reply;
+}
+
+asio::awaitable<void> FleetPeers::watchSilence()
+{
+    for (;;) {
+        co_await sleepFor(SilencePoll);
+        const auto now = m_clock.now();
+        for (const auto &[name, member] : m_members) {
+            if (!member->isAlive)
+                continue;
+            const auto refused = m_client.refusedAt(member->peer.address);
+            const bool hasStopped = refused && *refused > member->heard;
+            if (!hasStopped && now - member->heard <= SilenceLimit)
+                continue;
+            member->isAlive = false;
+            const auto silent = std::chrono::duration_cast<milliseconds>(now - member->heard);
+            m_log.warning("peer_lost", {{"peer", name},
+                                        {"silent_ms", std::int64_t{silent.count()}},
+                                        {"stopped", hasStopped ? "yes" : "unknown"}});
+            m_callbacks.lost(name, hasStopped);
+        }
+    }
+}
+
+std::vector<std::string> FleetPeers::memberNames() const
+{
+    std::vector<std::string> names{m_self.name};
+    for (const auto &[name, member] : m_members)
+        names.push_back(name);
+    return names;
+}
+
+std::vector<std::string> FleetPeers::callerInstances() const
+{
+    std::vector<std::string> names;
+    if (m_self.takesCallers)
+        names.push_back(m_self.name);
+    for (const auto &[name, member] : m_members) {
+        if (member->peer.takesCallers)
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<std::string> FleetPeers::aliveNames() const
+{
+    std::vector<std::string> names{m_self.name};
+    for (const auto &[name, member] : m_members) {
+        if (member->isAlive && !member->isLeaving)
+            names.push_back(name);
+    }
+    return names;
+}
+
+bool FleetPeers::isAlive(const std::string &name) const
+{
+    const auto found = m_members.find(name);
+    return name == m_self.name
+            || (found != m_members.end() && found->second->isAlive && !found->second->isLeaving);
+}
+
+std::optional<std::uint64_t> FleetPeers::incarnationOf(const std::string &name) const
+{
+    if (name == m_self.name)
+        return m_incarnation;
+    const auto found = m_members.find(name);
+    if (found == m_members.end() || found->second->incarnation == 0)
+        return std::nullopt;
+    return found->second->incarnation;
+}
+
+milliseconds FleetPeers::storeAgeOf(const std::string &name) const
+{
+    const auto found = m_members.find(name);
+    return found == m_members.end() ? UnknownStoreAge : found->second->storeAge;
+}
+
+bool FleetPeers::hasPeerOlderThan(milliseconds uptime) const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [uptime](const auto &each) {
+        return each.second->isAlive && each.second->uptime > uptime;
+    });
+}
+
+std::optional<SocketAddress> FleetPeers::addressOf(const std::string &name) const
+{
+    const auto found = m_members.find(name);
+    return found == m_members.end() ? std::nullopt
+                                    : std::optional<SocketAddress>(found->second->peer.address);
+}
+
+} // namespace pistachiofall
--- /dev/null
+++ b/src/serving/ingress.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "serving/configholder.h"
+#include "serving/jobservice.h"
+#include "serving/onlineservice.h"
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace pistachiofall {
+
+/// Takes the calls of callers: finds the route, checks the key and the limit, reads the body, and
+/// hands over to the online service or to the job service.
+class Ingress
+{
+public:
+    Ingress(ServingParts parts, const ConfigHolder &config, OnlineService &online,
+            JobService &jobs);
+
+    boost::asio::awaitable<void> handle(ServerExchange &exchange);
+
+private:
+    boost::asio::awaitable<void> handleRequest(ServerExchange &exchange, OnlineRequest request);
+    boost::asio::awaitable<void> handleJobCall(ServerExchange &exchange, CallerCall call,
+                                               const ServingOrganisation &organisation);
+    boost::asio::awaitable<void> reject(ServerExchange &exchange, const OnlineRequest &request,
+                                        Error error);
+
+    ServingParts m_parts;
+    const ConfigHolder &m_config;
+    OnlineService &m_online;
+    JobService &m_jobs;
+};
+
+} // namespace pistachiofall
--- /dev/null
+++ b/src/serving/jobrunner.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "serving/jobstore.h"
+#include "serving/onlineservice.h"
+#include "serving/ownedjob.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+namespace pistachiofall {
+
+/// Runs the items of the batch jobs that this instance owns, in slots that online requests leave. An
+/// item whose slot is needed is put aside and goes on later, elsewhere, after its last event.
+/// Results are read by callers once the store has acknowledged them. It lives on one thread.
+class JobRunner
+{
+public:
+    struct Callbacks
+    {
+        /// The configuration in force; null before there is one.
+        std::function<ServingConfig::Ptr()> config;
+        /// Whether an owner's process runs and reaches the store, as far as this instance knows.
+        std::function<bool(const std::string &owner)> isOwnerAlive;
+        /// Whether this instance adopts the jobs of owners that have gone.
+        std::function<bool()> adoptsJobs;
+    };
+
+    /// The owner names the instance and the start of its process.
+    JobRunner(const boost::asio::any_io_executor &executor, ServingParts parts, JobStore &store,
+              std::string owner, Callbacks callbacks);
+
+    /// Begins to look for jobs without an owner.
+    void start();
+
+    /// Takes a job that this instance has just stored, or has taken over.
+    void add(JobHead head, std::vector<JobItem> items);
+
+    /// Whether a write of the job went through is not known; it is looked up until it is.
+    void noteUncertain(const std::string &id);
+
+    /// Starts items in free slots.
+    void pump();
+    /// Puts items at the endpoint aside.
+    void yield(const std::string &endpoint, int count);
+    /// A caller has ended the job.
+    void jobEnded(const std::string &id);
+    /// An instance has gone; its jobs are looked for soon.
+    void noteOwnerGone();
+    /// Starts no more items, puts those that run aside and writes their results.
+    void stop();
+
+    const std::string &owner() const { return m_owner; }
+    std::shared_ptr<OwnedJob> find(const std::string &id) const;
+    std::size_t jobCount() const { return m_jobs.size(); }
+
+private:
+    using JobPtr = std::shared_ptr<OwnedJob>;
+    /// Jobs by due time, then by id.
+    using JobOrder = std::tuple<SteadyTime, std::string>;
+
+    bool placeNext(const JobPtr &job, std::size_t index, const ServingConfig &config);
+    void finishWithoutRun(const JobPtr &job, std::size_t index, std::string_view reason);
+    boost::asio::awaitable<void> runItem(JobPtr job, std::size_t index, Placement placement);
+    boost::asio::awaitable<void> callEndpoint(JobPtr job, std::size_t index, Placement placement);
+    boost::asio::awaitable<bool> confirm(JobPtr job);
+    void takeFailure(const JobPtr &job, std::size_t index, const AnswerHead &head,
+                     const Placement &placement);
+    void finish(const JobPtr &job, std::size_t index, JobResult result);
+    boost::asio::awaitable<void> writeResults(JobPtr job);
+    boost::asio::awaitable<bool> reconcile(JobPtr job);
+    void release(const JobPtr &job, std::string_view reason);
+    boost::asio::awaitable<void> adoptRepeatedly();
+    boost::asio::awaitable<void> adoptOrphans();
+    boost::asio::awaitable<void> resolveUncertain();
+    bool isOrphan(const JobHead &head) const;
+    boost::asio::awaitable<void> adopt(JobHead head);
+
+    boost::asio::any_io_executor m_executor;
+    ServingParts m_parts;
+    JobStore &m_store;
+    std::string m_owner;
+    Callbacks m_callbacks;
+    std::map<std::string, JobPtr> m_jobs;
+    std::set<JobOrder> m_order;
+    std::set<std::string> m_uncertain;
+    SteadyTime m_nextAdoption{};
+    bool m_isStopping = false;
+    bool m_isPumping = false;
+};
+
+} // namespace pistachiofall
--- /dev/null
+++ b/src/serving/jobstore.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/decisionlog.h"
+#include "coord/coordtimes.h"
+#include "serving/jobhead.h"
+#include "serving/jobitem.h"
+#include "store/objectspace.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace pistachiofall {
+
+/// Batch jobs in the store: one object with the items, or several if they are large, and one that is
+/// the job itself, which holds the results too. The job exists once that object does, and each
+/// change of it is conditional on its revision, so that two owners can not both write results.
+class JobStore
+{
+public:
+    template<typename T>
+    using Async = boost::asio::awaitable<Result<T>>;
+
+    JobStore(const Clock &clock, DecisionLog &log, std::shared_ptr<ObjectSpace> space);
+
+    /// Stores a job by the deadline. AlreadyExists when there is one of the id. Unavailable
+    /// promises that it is not stored and never will be; any other error promises nothing.
+    Async<JobHead> create(JobHead head, std::vector<JobItem> items, SteadyTime deadline);
+
+    /// The newest state. NotFound when there is no such job.
+    Async<JobHead> read(std::string id);
+
+    /// NotFound when an object with items is missing.
+    Async<std::vector<JobItem>> readItems(JobHead head);
+
+    /// Replaces owner, end and results if the revision is still that of the head, and returns the
+    /// new revision. Conflict when it is not.
+    Async<std::uint64_t> write(JobHead head);
+
+    /// All jobs that are open. May be seconds old.
+    Async<std::vector<JobHead>> listOpen();
+
+    /// When the store last answered a call of this class.
+    SteadyTime lastAnswer() const { return m_lastAnswer; }
+
+private:
+    Async<Done> createItems(std::string id, std::vector<boost::json::value> parts);
+    void noteAnswer(bool isAnswered);
+
+    const Clock &m_clock;
+    DecisionLog &m_log;
+    std::shared_ptr<ObjectSpace> m_space;
+    SteadyTime m_lastAnswer{};
+};
+
+} // namespace pistachiofall
--- /dev/null
+++ b/src/serving/servinginstance.cpp
@@ -0,0 +1,632 @@
+#include "serving/servinginstance.h"
+
+#include "base/decisionlog.h"
+#include "base/systemclock.h"
+#include "http/endpointclient.h"
+#include "http/httplistener.h"
+#include "serving/configholder.h"
+#include "serving/endpointfollower.h"
+#include "serving/fleetpeers.h"
+#include "serving/ingress.h"
+#include "serving/instancedirectory.h"
+#include "serving/jobrunner.h"
+#include "serving/jobservice.h"
+#include "serving/kindfollower.h"
+#include "serving/retirementfollower.h"
+#include "settings/loadfleetsettings.h"
+#include "wire/body.h"
+#include "wire/peerserver.h"
+#include "wire/sleep.h"
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace pistachiofall {
+
+namespace asio = boost::asio;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds TickInterval{50};
+constexpr milliseconds PeerCallTimeout{500};
+// The balancer takes an instance out after two questions a second apart.
+constexpr milliseconds BalancerNotice{2300};
+// What is left of the grace when the process ends by itself.
+constexpr milliseconds StopReserve{700};
+// An owner that has not reached the store for so long can not write its results.
+constexpr milliseconds OwnerStoreLimit{2000};
+constexpr milliseconds OwnStoreLimit{1000};
+// A whole window of limits has been seen after this time.
+constexpr milliseconds QuotaMemoryMargin{500};
+
+std::uint64_t randomIncarnation()
+{
+    std::random_device random;
+    const std::uint64_t high = random();
+    return (high << 32U) | random();
+}
+
+FleetPeer selfOf(const FleetSettings &settings)
+{
+    return {settings.name, settings.peers, settings.failureDomain, settings.callers.has_value()};
+}
+
+} // namespace
+
+struct ServingInstance::Data
+{
+    Data(const FleetSettings &fleetSettings, std::string file,
+         std::shared_ptr<const ServingProtocol> servingProtocol);
+
+    Result<Done> open(const SpaceFactory &spaceFactory);
+    Result<Done> listen();
+    void wire();
+    void follow();
+    void start();
+    ServingParts parts();
+
+    void configChanged(const ServingConfig::Ptr &config);
+    void membersChanged();
+    void peerReported(const std::string &peer, const wire::FleetReportT &report);
+    void peerLost(const std::string &peer, bool hasStopped);
+    void fillReport(wire::FleetReportT &report);
+    void tellEnded(const std::string &jobId);
+    bool isOwnerAlive(const std::string &owner) const;
+    bool adoptsJobs() const;
+    bool isReady() const;
+    milliseconds storeAge() const;
+
+    asio::awaitable<wire::BodyUnion> handlePeer(const wire::EnvelopeT &envelope);
+    asio::awaitable<void> handleReady(ServerExchange &exchange);
+    asio::awaitable<void> handleMetrics(ServerExchange &exchange);
+    asio::awaitable<void> fetchConfig(std::string peer, std::uint64_t version);
+    asio::awaitable<void> tellEndedTo(SocketAddress address, std::string jobId);
+    asio::awaitable<void> tick();
+    asio::awaitable<void> waitForSignals();
+    asio::awaitable<void> stopGracefully();
+    void reloadSettings();
+
+    FleetSettings settings;
+    const std::string settingsFile;
+    const std::shared_ptr<const ServingProtocol> protocol;
+    SystemClock clock;
+    DecisionLog log;
+    MetricsRegistry metrics;
+    asio::io_context context{1};
+    std::shared_ptr<ObjectSpace> space;
+    EndpointBoard board;
+    QuotaShares quotas;
+    Scheduler scheduler;
+    FleetPeers peers;
+    ConfigHolder config;
+    const std::shared_ptr<EndpointClient> client;
+    std::unique_ptr<OnlineService> online;
+    std::unique_ptr<JobStore> jobStore;
+    std::unique_ptr<JobRunner> jobs;
+    std::unique_ptr<JobService> jobService;
+    std::unique_ptr<Ingress> ingress;
+    std::unique_ptr<EndpointFollower> endpoints;
+    std::unique_ptr<InstanceDirectory> directory;
+    std::unique_ptr<RetirementFollower> retirements;
+    std::vector<std::unique_ptr<KindFollower>> followers;
+    std::set<std::string> evacuated;
+
+    std::unique_ptr<PeerServer> peerServer;
+    std::shared_ptr<HttpListener> callerListener;
+    std::shared_ptr<HttpListener> readyListener;
+    std::shared_ptr<HttpListener> metricsListener;
+    bool isStopping = false;
+    bool isFetchingConfig = false;
+};
+
+ServingInstance::Data::Data(const FleetSettings &fleetSettings, std::string file,
+                            std::shared_ptr<const ServingProtocol> servingProtocol)
+    : settings(fleetSettings)
+    , settingsFile(std::move(file))
+    , protocol(std::move(servingProtocol))
+    , log(clock)
+    , board(settings.name)
+    , quotas(settings.quotaWindow)
+    , scheduler(context.get_executor(), clock, board, metrics)
+    , peers(context.get_executor(), clock, log, metrics, selfOf(settings), randomIncarnation())
+    , config(*protocol, log, [this](const ServingConfig::Ptr &newest) { configChanged(newest); })
+    , client(EndpointClient::create(context.get_executor(), {}, metrics))
+{ }
+
+ServingParts ServingInstance::Data::parts()
+{
+    return {clock,  *protocol, log,       metrics,
+            board,  quotas,    scheduler, client,
+            settings.failureDomain};
+}
+
+Result<Done> ServingInstance::Data::open(const SpaceFactory &spaceFactory)
+{
+    auto created = spaceFactory(context.get_executor(), settings.store, clock, metrics);
+    if (!isOk(created))
+        return errorOf(created);
+    space = valueOf(std::move(created));
+    wire();
+    follow();
+    return listen();
+}
+
+// Makes the parts that need each other, and joins them.
+void ServingInstance::Data::wire()
+{
+    online = std::make_unique<OnlineService>(parts());
+    jobStore = std::make_unique<JobStore>(clock, log, space);
+    const std::string owner = settings.name + '/' + std::to_string(peers.incarnation());
+    JobRunner::Callbacks runnerCallbacks;
+    runnerCallbacks.config = [this] { return config.config(); };
+    runnerCallbacks.isOwnerAlive = [this](const std::string &name) { return isOwnerAlive(name); };
+    runnerCallbacks.adoptsJobs = [this] { return adoptsJobs(); };
+    jobs = std::make_unique<JobRunner>(context.get_executor(), parts(), *jobStore, owner,
+                                       std::move(runnerCallbacks));
+    jobService = std::make_unique<JobService>(
+            parts(), *jobStore, *jobs, *online,
+            [this](const std::string &jobId) { tellEnded(jobId); });
+    ingress = std::make_unique<Ingress>(parts(), config, *online, *jobService);
+
+    Scheduler::Callbacks schedulerCallbacks;
+    schedulerCallbacks.capacityChanged = [this] { jobs->pump(); };
+    schedulerCallbacks.yieldBatch = [this](const std::string &endpoint, int count) {
+        jobs->yield(endpoint, count);
+    };
+    schedulerCallbacks.useChanged = [this] { peers.noteChange(); };
+    scheduler.setCallbacks(std::move(schedulerCallbacks));
+
+    FleetPeers::Callbacks peerCallbacks;
+    peerCallbacks.fillReport = [this](wire::FleetReportT &report) { fillReport(report); };
+    peerCallbacks.reported = [this](const std::string &peer, const wire::FleetReportT &report,
+                                    bool isRestarted) {
+        if (isRestarted)
+            jobs->noteOwnerGone();
+        peerReported(peer, report);
+    };
+    peerCallbacks.lost = [this](const std::string &peer, bool hasStopped) {
+        peerLost(peer, hasStopped);
+    };
+    peerCallbacks.membersChanged = [this] { membersChanged(); };
+    peerCallbacks.configSeen = [this](const std::string &peer, std::uint64_t version) {
+        if (version > config.version() && !isFetchingConfig)
+            asio::co_spawn(context, fetchConfig(peer, version), asio::detached);
+    };
+    peers.setCallbacks(std::move(peerCallbacks));
+}
+
+// Makes the followers of what operators, endpoints and instances write to the store.
+void ServingInstance::Data::follow()
+{
+    const SpaceNames names = protocol->spaceNames();
+    endpoints = std::make_unique<EndpointFollower>(clock, log, *protocol, board,
+                                                   settings.lapsedEntryGrace,
+                                                   [this] { scheduler.update(); });
+    directory = std::make_unique<InstanceDirectory>(log, space, peers);
+    const auto add = [this](const std::string &kind, KindFollower::Callbacks callbacks) {
+        if (!callbacks.contactRegained)
+            callbacks.contactRegained = [](milliseconds) {};
+        followers.push_back(std::make_unique<KindFollower>(clock, log, space, kind,
+                                                           std::move(callbacks)));
+    };
+    KindFollower::Callbacks configCallbacks;
+    configCallbacks.listed = [this, names](const std::vector<SpaceObject> &objects) {
+        for (const SpaceObject &object : objects) {
+            if (object.name == names.configName)
+                config.offer(object.spec, "store");
+        }
+    };
+    configCallbacks.changed = [this, names](const SpaceEvent &event) {
+        if (event.object.name == names.configName && !event.isRemoved)
+            config.offer(event.object.spec, "store");
+    };
+    add(names.configKind, std::move(configCallbacks));
+
+    KindFollower::Callbacks endpointCallbacks;
+    endpointCallbacks.listed = [this](const std::vector<SpaceObject> &objects) {
+        endpoints->takeListing(objects);
+    };
+    endpointCallbacks.changed = [this](const SpaceEvent &event) { endpoints->takeEvent(event); };
+    endpointCallbacks.contactRegained = [this](milliseconds) { endpoints->contactRegained(); };
+    add(names.endpointKind, std::move(endpointCallbacks));
+
+    KindFollower::Callbacks evacuationCallbacks;
+    const auto applyEvacuations = [this] {
+        log.info("evacuations_in_force", {{"domains", std::uint64_t{evacuated.size()}}});
+        board.setEvacuated(evacuated, clock.now());
+        scheduler.update();
+    };
+    evacuationCallbacks.listed = [this,
+                                  applyEvacuations](const std::vector<SpaceObject> &objects) {
+        evacuated.clear();
+        for (const SpaceObject &object : objects)
+            evacuated.insert(object.name);
+        applyEvacuations();
+    };
+    evacuationCallbacks.changed = [this, applyEvacuations](const SpaceEvent &event) {
+        if (event.isRemoved)
+            evacuated.erase(event.object.name);
+        else
+            evacuated.insert(event.object.name);
+        applyEvacuations();
+    };
+    add(names.evacuationKind, std::move(evacuationCallbacks));
+    add(InstanceDirectory::Kind, directory->callbacks());
+    if (!settings.callers) {
+        retirements = std::make_unique<RetirementFollower>(log, space, *protocol, settings.name,
+                                                           context.get_executor());
+        add(names.retirementKind, retirements->callbacks());
+    }
+}
+
+Result<Done> ServingInstance::Data::listen()
+{
+    const auto executor = context.get_executor();
+    auto peerResult = PeerServer::create(
+            executor, settings.peers, metrics,
+            [this](const wire::EnvelopeT &envelope, PeerRequestContext) {
+                return handlePeer(envelope);
+            });
+    if (!isOk(peerResult))
+        return errorOf(peerResult);
+    peerServer = valueOf(std::move(peerResult));
+    const auto open = [&](const std::optional<SocketAddress> &address, const char *name,
+                          RequestHandler handler,
+                          std::shared_ptr<HttpListener> &listener) -> Result<Done> {
+        if (!address)
+            return Done{};
+        ListenerSettings listenerSettings;
+        listenerSettings.name = name;
+        auto result = HttpListener::create(executor, *address, listenerSettings, metrics,
+                                           std::move(handler));
+        if (!isOk(result))
+            return errorOf(result);
+        listener = valueOf(std::move(result));
+        return Done{};
+    };
+    Result<Done> opened = open(
+            settings.callers, "callers",
+            [this](ServerExchange &exchange) { return ingress->handle(exchange); }, callerListener);
+    if (isOk(opened))
+        opened = open(
+                settings.ready, "ready",
+                [this](ServerExchange &exchange) { return handleReady(exchange); }, readyListener);
+    if (isOk(opened))
+        opened = open(
+                settings.metrics, "metrics",
+                [this](ServerExchange &exchange) { return handleMetrics(exchange); },
+                metricsListener);
+    return opened;
+}
+
+void ServingInstance::Data::start()
+{
+    for (const auto &follower : followers)
+        asio::co_spawn(context, follower->run(), asio::detached);
+    asio::co_spawn(context, directory->registerSelf(), asio::detached);
+    peers.start(settings.seeds);
+    // Callers may connect to another instance; one without callers has no need to run their items.
+    jobs->start();
+    asio::co_spawn(context, tick(), asio::detached);
+    asio::co_spawn(context, waitForSignals(), asio::detached);
+}
+
+void ServingInstance::Data::configChanged(const ServingConfig::Ptr &newest)
+{
+    board.setConfig(newest);
+    peers.noteChange();
+    scheduler.update();
+}
+
+void ServingInstance::Data::membersChanged()
+{
+    board.setInstances(peers.callerInstances());
+    for (const std::string &name : peers.callerInstances()) {
+        if (name != settings.name)
+            quotas.addPeer(name);
+    }
+}
+
+void ServingInstance::Data::peerReported(const std::string &peer, const wire::FleetReportT &report)
+{
+    std::map<std::string, EndpointUse> use;
+    for (const auto &each : report.endpoints)
+        use[each->endpoint] = {each->online, each->batch};
+    board.setPeerUse(peer, std::move(use));
+    std::map<std::string, std::uint32_t> requests;
+    for (const auto &each : report.organisations)
+        requests[each->organisation] = each->requests;
+    if (report.sender->takesCallers)
+        quotas.setPeerUse(peer, std::move(requests), report.incarnation, clock.now());
+    std::map<std::string, int> queues;
+    for (const auto &each : report.queues)
+        queues[each->service] = each->waiting;
+    scheduler.setPeerQueues(peer, std::move(queues));
+    if (report.leaving)
+        jobs->noteOwnerGone();
+    scheduler.update();
+}
+
+void ServingInstance::Data::peerLost(const std::string &peer, bool hasStopped)
+{
+    if (hasStopped)
+        quotas.peerStopped(peer, clock.now());
+    board.forgetPeer(peer);
+    scheduler.forgetPeer(peer);
+    jobs->noteOwnerGone();
+    scheduler.update();
+}
+
+void ServingInstance::Data::fillReport(wire::FleetReportT &report)
+{
+    report.configVersion = config.version();
+    report.storeAgeMs = static_cast<std::uint32_t>(storeAge().count());
+    for (const auto &[id, use] : board.ownUse()) {
+        auto entry = std::make_unique<wire::EndpointUseT>();
+        entry->endpoint = id;
+        entry->online = static_cast<std::uint16_t>(use.online);
+        entry->batch = static_cast<std::uint16_t>(use.batch);
+        report.endpoints.push_back(std::move(entry));
+    }
+    for (const auto &[organisation, requests] : quotas.ownUse(clock.now())) {
+        auto entry = std::make_unique<wire::OrganisationUseT>();
+        entry->organisation = organisation;
+        entry->requests = requests;
+        report.organisations.push_back(std::move(entry));
+    }
+    for (const auto &[service, waiting] : scheduler.queueCounts()) {
+        auto entry = std::make_unique<wire::ServiceQueueT>();
+        entry->service = service;
+        entry->waiting = static_cast<std::uint16_t>(std::min(waiting, 0xffff));
+        report.queues.push_back(std::move(entry));
+    }
+}
+
+milliseconds ServingInstance::Data::storeAge() const
+{
+    auto newest = jobStore->lastAnswer();
+    for (const auto &follower : followers)
+        newest = std::max(newest, follower->lastContact());
+    return std::max(milliseconds{0}, duration_cast<milliseconds>(clock.now() - newest));
+}
+
+// An owner is "name/incarnation".
+bool ServingInstance::Data::isOwnerAlive(const std::string &owner) const
+{
+    const auto slash = owner.rfind('/');
+    const std::string name = owner.substr(0, slash);
+    const auto incarnation = peers.incarnationOf(name);
+    if (!peers.isAlive(name) || !incarnation
+        || owner.substr(slash + 1) != std::to_string(*incarnation))
+        return false;
+    return name == settings.name || peers.storeAgeOf(name) < OwnerStoreLimit;
+}
+
+// The first of the living instances that take callers and reach the store.
+bool ServingInstance::Data::adoptsJobs() const
+{
+    if (!settings.callers || isStopping || storeAge() > OwnStoreLimit)
+        return false;
+    const auto callers = peers.callerInstances();
+    const auto alive = peers.aliveNames();
+    std::string first = settings.name;
+    for (const std::string &name : alive) {
+        const bool takesCallers = std::find(callers.begin(), callers.end(), name) != callers.end();
+        if (takesCallers && name < first && peers.storeAgeOf(name) < OwnStoreLimit)
+            first = name;
+    }
+    return first == settings.name;
+}
+
+bool ServingInstance::Data::isReady() const
+{
+    return !isStopping && config.config() != nullptr && !board.ids().empty();
+}
+
+void ServingInstance::Data::tellEnded(const std::string &jobId)
+{
+    for (const std::string &name : peers.aliveNames()) {
+        if (const auto address = peers.addressOf(name))
+            asio::co_spawn(context, tellEndedTo(*address, jobId), asio::detached);
+    }
+}
+
+asio::awaitable<void> ServingInstance::Data::tellEndedTo(SocketAddress address, std::string jobId)
+{
+    wire::JobEndedT message;
+    message.jobId = jobId;
+    wire::BodyUnion body;
+    body.Set(std::move(message));
+    const auto reply = co_await peers.client().call(address, std::move(body), PeerCallTimeout);
+    // The owner reads the job again before it starts another item.
+    if (!isOk(reply))
+        log.warning("end_not_told", {{"job", jobId},
+                                     {"peer", address.toString()},
+                                     {"reason", errorOf(reply).message}});
+}
+
+asio::awaitable<wire::BodyUnion> ServingInstance::Data::handlePeer(const wire::EnvelopeT &envelope)
+{
+    wire::BodyUnion reply;
+    if (const auto *report = envelope.body.AsFleetReport()) {
+        wire::FleetReportReplyT answer = peers.handleReport(*report);
+        answer.configVersion = config.version();
+        reply.Set(std::move(answer));
+    } else if (const auto *fetch = envelope.body.AsConfigFetch()) {
+        wire::ConfigDataT data;
+        data.version = config.version();
+        if (fetch->knownVersion < data.version) {
+            const std::string text = config.text();
+            data.payload.assign(text.begin(), text.end());
+        }
+        reply.Set(std::move(data));
+    } else if (const auto *ended = envelope.body.AsJobEnded()) {
+        jobs->jobEnded(ended->jobId);
+        reply.Set(wire::PongT{});
+    }
+    co_return reply;
+}
+
+asio::awaitable<void> ServingInstance::Data::fetchConfig(std::string peer, std::uint64_t version)
+{
+    const auto address = peers.addressOf(peer);
+    if (!address)
+        co_return;
+    isFetchingConfig = true;
+    // The store's own change arrives within this time when the store is there.
+    co_await sleepFor(PeerCallTimeout / 2);
+    if (version > config.version()) {
+        wire::ConfigFetchT fetch;
+        fetch.knownVersion = config.version();
+        wire::BodyUnion body;
+        body.Set(std::move(fetch));
+        const auto reply =
+                co_await peers.client().call(*address, std::move(body), PeerCallTimeout);
+        const auto *data = isOk(reply) ? valueOf(reply).AsConfigData() : nullptr;
+        if (data != nullptr && !data->payload.empty())
+            config.offerText(std::string(data->payload.begin(), data->payload.end()), peer);
+    }
+    isFetchingConfig = false;
+}
+
+asio::awaitable<void> ServingInstance::Data::handleReady(ServerExchange &exchange)
+{
+    const bool isKnown = protocol->isReadinessCall(exchange.path());
+    const unsigned status = !isKnown ? 404 : isReady() ? 200 : 503;
+    HttpHeaders headers;
+    std::string body;
+    co_await exchange.respond(status, std::move(headers), std::move(body));
+}
+
+asio::awaitable<void> ServingInstance::Data::handleMetrics(ServerExchange &exchange)
+{
+    metrics.gauge("config_version").set(static_cast<std::int64_t>(config.version()));
+    metrics.gauge("store_age_ms").set(storeAge().count());
+    metrics.gauge("peers_alive").set(static_cast<std::int64_t>(peers.aliveNames().size()));
+    metrics.gauge("jobs_owned").set(static_cast<std::int64_t>(jobs->jobCount()));
+    HttpHeaders headers{{"Content-Type", "text/plain; version=0.0.4"}};
+    std::string body = metrics.renderText();
+    co_await exchange.respond(200, std::move(headers), std::move(body));
+}
+
+asio::awaitable<void> ServingInstance::Data::tick()
+{
+    bool wasReady = false;
+    for (;;) {
+        co_await sleepFor(TickInterval);
+        endpoints->removeLapsed();
+        quotas.setHasMemory(peers.hasPeerOlderThan(settings.quotaWindow + QuotaMemoryMargin),
+                            clock.now());
+        scheduler.update();
+        log.flush();
+        if (isReady() != wasReady) {
+            wasReady = !wasReady;
+            log.info(wasReady ? "ready" : "not_ready",
+                     {{"config", config.version()},
+                      {"endpoints", std::uint64_t{board.ids().size()}},
+                      {"stopping", isStopping ? "yes" : "no"}});
+        }
+    }
+}
+
+asio::awaitable<void> ServingInstance::Data::waitForSignals()
+{
+    asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+    for (;;) {
+        boost::system::error_code error;
+        const int number = co_await signals.async_wait(
+                asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return;
+        if (number == SIGHUP) {
+            reloadSettings();
+            continue;
+        }
+        log.info("stopping", {{"signal", number}});
+        if (isStopping) {
+            context.stop();
+            co_return;
+        }
+        isStopping = true;
+        asio::co_spawn(context, stopGracefully(), asio::detached);
+    }
+}
+
+void ServingInstance::Data::reloadSettings()
+{
+    const auto loaded = loadFleetSettings(settingsFile);
+    if (!isOk(loaded)) {
+        log.warning("reload_failed", {{"reason", errorOf(loaded).message}});
+        return;
+    }
+    // Addresses hold for the life of the process.
+    settings.stopGrace = valueOf(loaded).stopGrace;
+    log.info("reloaded", {{"file", settingsFile},
+                          {"stop_grace_ms", std::int64_t{settings.stopGrace.count()}}});
+}
+
+asio::awaitable<void> ServingInstance::Data::stopGracefully()
+{
+    const auto deadline = clock.now() + settings.stopGrace - StopReserve;
+    jobs->stop();
+    peers.setLeaving();
+    if (callerListener) {
+        callerListener->closeAfterAnswers();
+        co_await sleepFor(std::min<milliseconds>(BalancerNotice, settings.stopGrace / 3));
+        callerListener->stop();
+        const auto left = duration_cast<milliseconds>(deadline - clock.now());
+        const bool isDrained = co_await callerListener->waitStopped(left);
+        log.info("callers_done", {{"drained", isDrained ? "yes" : "no"}});
+    }
+    log.info("stopped", {});
+    log.flush();
+    context.stop();
+}
+
+Result<std::unique_ptr<ServingInstance>>
+ServingInstance::create(const FleetSettings &settings, std::string settingsFile,
+                        std::shared_ptr<const ServingProtocol> protocol,
+                        const SpaceFactory &spaceFactory)
+{
+    auto data = std::make_unique<Data>(settings, std::move(settingsFile), std::move(protocol));
+    const auto opened = data->open(spaceFactory);
+    if (!isOk(opened))
+        return errorOf(opened);
+    return std::unique_ptr<ServingInstance>(new ServingInstance(std::move(data)));
+}
+
+ServingInstance::ServingInstance(std::unique_ptr<Data> data)
+    : m_data(std::move(data))
+{ }
+
+ServingInstance::~ServingInstance() = default;
+
+void ServingInstance::run()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    m_data->log.info("started",
+                     {{"instance", m_data->settings.name},
+                      {"incarnation", m_data->peers.incarnation()},
+                      {"domain", m_data->settings.failureDomain},
+                      {"peers", m_data->settings.peers.toString()},
+                      {"callers", m_data->settings.callers ? m_data->settings.callers->toString()
+                                                           : std::string()}});
+    m_data->log.flush();
+    m_data->start();
+    m_data->context.run();
+}
+
+} // namespace pistachiofall
--- /dev/null
+++ b/src/serving/slotoutcome.cpp
@@ -0,0 +1,20 @@
+#include "serving/slotoutcome.h"
+
+namespace pistachiofall {
+
+std::string_view toString(SlotRefusalReason reason)
+{
+    switch (reason) {
+    case SlotRefusalReason::NoEndpoint:
+        return "no_endpoint";
+    case SlotRefusalReason::Overloaded:
+        return "overloaded";
+    case SlotRefusalReason::DeadlinePassed:
+        return "deadline_passed";
+    case SlotRefusalReason::CallerGone:
+        return "caller_gone";
+    }
+    return "unknown";
+}
+
+} // namespace pistachiofall
--- /dev/null
+++ b/src/settings/loadfleetsettings.cpp
@@ -0,0 +1,103 @@
+#include "settings/loadfleetsettings.h"
+
+#include "settings/sectionreader.h"
+#include "settings/settingserrors.h"
+#include "settings/tomlfile.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace pistachiofall {
+
+namespace {
+
+using detail::SectionReader;
+using detail::SettingsErrors;
+
+constexpr std::array<std::string_view, 4> Sections{"instance", "listen", "store", "fleet"};
+constexpr std::uint16_t LeastPort = 1;
+constexpr std::int64_t MaxMilliseconds = 600'000;
+
+void checkSections(const toml::table &document, SettingsErrors &errors)
+{
+    for (const auto &[key, value] : document) {
+        if (std::find(Sections.begin(), Sections.end(), key.str()) == Sections.end())
+            errors.add(std::max<std::size_t>(1, key.source().begin.line),
+                       "unknown section '" + std::string(key.str())
+                               + "'; accepted: instance, listen, store, fleet");
+    }
+}
+
+std::vector<SocketAddress> readSeeds(const toml::table &document, SettingsErrors &errors)
+{
+    std::vector<SocketAddress> seeds;
+    const toml::array *values = document["fleet"]["seeds"].as_array();
+    if (values == nullptr)
+        return seeds;
+    for (const toml::node &value : *values) {
+        const auto address = SocketAddress::parse(value.value_or(std::string()));
+        if (isOk(address))
+            seeds.push_back(valueOf(address));
+        else
+            errors.add(detail::lineOf(value), "fleet.seeds: " + errorOf(address).message);
+    }
+    return seeds;
+}
+
+Result<FleetSettings> readDocument(const toml::table &document, const std::string &file)
+{
+    SettingsErrors errors(file);
+    checkSections(document, errors);
+    SectionReader instance(document, "instance", errors);
+    std::string name = instance.requiredName("name");
+    std::string failureDomain = instance.requiredName("failure_domain");
+    instance.finish();
+    SectionReader listen(document, "listen", errors);
+    const auto callers = listen.address("callers", LeastPort);
+    const auto ready = listen.address("ready", LeastPort);
+    const auto metrics = listen.address("metrics", LeastPort);
+    const auto peers = listen.requiredAddress("peers", LeastPort);
+    listen.finish();
+    SectionReader storeReader(document, "store", errors);
+    StoreSettings store;
+    const auto storeAddress = storeReader.requiredAddress("address", LeastPort);
+    storeReader.milliseconds("call_timeout_ms", 10, MaxMilliseconds, store.callTimeout);
+    storeReader.finish();
+    if (!errors.isEmpty() || !peers || !storeAddress)
+        return errors.joined();
+    store.address = storeAddress->toString();
+    FleetSettings settings{std::move(name), std::move(failureDomain), callers, ready, metrics,
+                           *peers,          {},                       store};
+    settings.seeds = readSeeds(document, errors);
+    toml::table fleetTable;
+    if (const toml::table *fleet = document["fleet"].as_table())
+        fleetTable = *fleet;
+    fleetTable.erase("seeds");
+    SectionReader fleet(fleetTable, SectionReader::Label{"fleet"}, errors);
+    fleet.milliseconds("quota_window_ms", 100, MaxMilliseconds, settings.quotaWindow);
+    fleet.milliseconds("stop_grace_ms", 100, MaxMilliseconds, settings.stopGrace);
+    fleet.milliseconds("lapsed_entry_grace_ms", 0, MaxMilliseconds, settings.lapsedEntryGrace);
+    fleet.finish();
+    if (!errors.isEmpty())
+        return errors.joined();
+    return settings;
+}
+
+} // namespace
+
+Result<FleetSettings> loadFleetSettings(const std::string &file)
+{
+    const auto text = detail::readTextFile("settings file", file);
+    if (!isOk(text))
+        return errorOf(text);
+    return parseFleetSettings(valueOf(text), file);
+}
+
+Result<FleetSettings> parseFleetSettings(std::string_view text, const std::string &file)
+{
+    return detail::readToml(
+            text, file, [&](const toml::table &document) { return readDocument(document, file); });
+}
+
+} // namespace pistachiofall
--- a/src/store/httpcall.cpp
+++ b/src/store/httpcall.cpp
@@ -4,6 +4,9 @@
 
 #include <utility>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -20,6 +23,27 @@
 
 using TimePoint = std::chrono::steady_clock::time_point;
 
+using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using KeepCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+// A connection that goes silent while a watch waits is found broken after two seconds, without
+// calls that poll the store.
+constexpr int KeepAliveSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+constexpr int UserTimeoutMilliseconds = 2000;
+
+void enableKeepAlive(asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(KeepIdle(KeepAliveSeconds), ignored);
+    socket.set_option(KeepInterval(KeepAliveSeconds), ignored);
+    socket.set_option(KeepCount(KeepAliveProbes), ignored);
+    socket.set_option(UserTimeout(UserTimeoutMilliseconds), ignored);
+}
+
 asio::awaitable<Result<HttpAnswer>> runCall(std::shared_ptr<ConnectionPool> pool,
                                             std::unique_ptr<StoreConnection> connection,
                                             CallKind kind, HttpRequest request, TimePoint deadline)
@@ -71,6 +95,7 @@
             co_return connectionError(kind, false, error);
         boost::system::error_code ignored;
         connection.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        enableKeepAlive(connection.stream.socket());
     }
     const std::size_t sentBytes = co_await http::async_write(
             connection.stream, request, asio::redirect_error(asio::use_awaitable, error));
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -120,6 +120,42 @@
 struct RolloutReplyBuilder;
 struct RolloutReplyT;
 
+struct EndpointUse;
+struct EndpointUseBuilder;
+struct EndpointUseT;
+
+struct OrganisationUse;
+struct OrganisationUseBuilder;
+struct OrganisationUseT;
+
+struct ServiceQueue;
+struct ServiceQueueBuilder;
+struct ServiceQueueT;
+
+struct FleetMember;
+struct FleetMemberBuilder;
+struct FleetMemberT;
+
+struct FleetReport;
+struct FleetReportBuilder;
+struct FleetReportT;
+
+struct FleetReportReply;
+struct FleetReportReplyBuilder;
+struct FleetReportReplyT;
+
+struct ConfigFetch;
+struct ConfigFetchBuilder;
+struct ConfigFetchT;
+
+struct ConfigData;
+struct ConfigDataBuilder;
+struct ConfigDataT;
+
+struct JobEnded;
+struct JobEndedBuilder;
+struct JobEndedT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -333,11 +369,16 @@
   ListData = 22,
   RolloutReport = 23,
   RolloutReply = 24,
+  FleetReport = 25,
+  FleetReportReply = 26,
+  ConfigFetch = 27,
+  ConfigData = 28,
+  JobEnded = 29,
   MIN = NONE,
-  MAX = RolloutReply
+  MAX = JobEnded
 };
 
-inline const Body (&EnumValuesBody())[25] {
+inline const Body (&EnumValuesBody())[30] {
   static const Body values[] = {
     Body::NONE,
     Body::Ping,
@@ -363,13 +404,18 @@
     Body::ListFetch,
     Body::ListData,
     Body::RolloutReport,
-    Body::RolloutReply
+    Body::RolloutReply,
+    Body::FleetReport,
+    Body::FleetReportReply,
+    Body::ConfigFetch,
+    Body::ConfigData,
+    Body::JobEnded
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[26] = {
+  static const char * const names[31] = {
     "NONE",
     "Ping",
     "Pong",
@@ -395,13 +441,18 @@
     "ListData",
     "RolloutReport",
     "RolloutReply",
+    "FleetReport",
+    "FleetReportReply",
+    "ConfigFetch",
+    "ConfigData",
+    "JobEnded",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RolloutReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::JobEnded)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -506,6 +557,26 @@
   static const Body enum_value = Body::RolloutReply;
 };
 
+template<> struct BodyTraits<pistachiofall::wire::FleetReport> {
+  static const Body enum_value = Body::FleetReport;
+};
+
+template<> struct BodyTraits<pistachiofall::wire::FleetReportReply> {
+  static const Body enum_value = Body::FleetReportReply;
+};
+
+template<> struct BodyTraits<pistachiofall::wire::ConfigFetch> {
+  static const Body enum_value = Body::ConfigFetch;
+};
+
+template<> struct BodyTraits<pistachiofall::wire::ConfigData> {
+  static const Body enum_value = Body::ConfigData;
+};
+
+template<> struct BodyTraits<pistachiofall::wire::JobEnded> {
+  static const Body enum_value = Body::JobEnded;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -606,6 +677,26 @@
   static const Body enum_value = Body::RolloutReply;
 };
 
+template<> struct BodyUnionTraits<pistachiofall::wire::FleetReportT> {
+  static const Body enum_value = Body::FleetReport;
+};
+
+template<> struct BodyUnionTraits<pistachiofall::wire::FleetReportReplyT> {
+  static const Body enum_value = Body::FleetReportReply;
+};
+
+template<> struct BodyUnionTraits<pistachiofall::wire::ConfigFetchT> {
+  static const Body enum_value = Body::ConfigFetch;
+};
+
+template<> struct BodyUnionTraits<pistachiofall::wire::ConfigDataT> {
+  static const Body enum_value = Body::ConfigData;
+};
+
+template<> struct BodyUnionTraits<pistachiofall::wire::JobEndedT> {
+  static const Body enum_value = Body::JobEnded;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -828,6 +919,46 @@
     return type == Body::RolloutReply ?
       reinterpret_cast<const pistachiofall::wire::RolloutReplyT *>(value) : nullptr;
   }
+  pistachiofall::wire::FleetReportT *AsFleetReport() {
+    return type == Body::FleetReport ?
+      reinterpret_cast<pistachiofall::wire::FleetReportT *>(value) : nullptr;
+  }
+  const pistachiofall::wire::FleetReportT *AsFleetReport() const {
+    return type == Body::FleetReport ?
+      reinterpret_cast<const pistachiofall::wire::FleetReportT *>(value) : nullptr;
+  }
+  pistachiofall::wire::FleetReportReplyT *AsFleetReportReply() {
+    return type == Body::FleetReportReply ?
+      reinterpret_cast<pistachiofall::wire::FleetReportReplyT *>(value) : nullptr;
+  }
+  const pistachiofall::wire::FleetReportReplyT *AsFleetReportReply() const {
+    return type == Body::FleetReportReply ?
+      reinterpret_cast<const pistachiofall::wire::FleetReportReplyT *>(value) : nullptr;
+  }
+  pistachiofall::wire::ConfigFetchT *AsConfigFetch() {
+    return type == Body::ConfigFetch ?
+      reinterpret_cast<pistachiofall::wire::ConfigFetchT *>(value) : nullptr;
+  }
+  const pistachiofall::wire::ConfigFetchT *AsConfigFetch() const {
+    return type == Body::ConfigFetch ?
+      reinterpret_cast<const pistachiofall::wire::ConfigFetchT *>(value) : nullptr;
+  }
+  pistachiofall::wire::ConfigDataT *AsConfigData() {
+    return type == Body::ConfigData ?
+      reinterpret_cast<pistachiofall::wire::ConfigDataT *>(value) : nullptr;
+  }
+  const pistachiofall::wire::ConfigDataT *AsConfigData() const {
+    return type == Body::ConfigData ?
+      reinterpret_cast<const pistachiofall::wire::ConfigDataT *>(value) : nullptr;
+  }
+  pistachiofall::wire::JobEndedT *AsJobEnded() {
+    return type == Body::JobEnded ?
+      reinterpret_cast<pistachiofall::wire::JobEndedT *>(value) : nullptr;
+  }
+  const pistachiofall::wire::JobEndedT *AsJobEnded() const {
+    return type == Body::JobEnded ?
+      reinterpret_cast<const pistachiofall::wire::JobEndedT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -3235,132 +3366,1004 @@
 
 flatbuffers::Offset<RolloutReply> CreateRolloutReply(flatbuffers::FlatBufferBuilder &_fbb, const RolloutReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct EnvelopeT : public flatbuffers::NativeTable {
-  typedef Envelope TableType;
-  uint16_t protocolVersion = 0;
-  uint64_t correlationId = 0;
-  uint32_t timeLeftMs = 0;
-  bool isReply = false;
-  pistachiofall::wire::BodyUnion body{};
+struct EndpointUseT : public flatbuffers::NativeTable {
+  typedef EndpointUse TableType;
+  std::string endpoint{};
+  uint16_t online = 0;
+  uint16_t batch = 0;
 };
 
-struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EnvelopeT NativeTableType;
-  typedef EnvelopeBuilder Builder;
+struct EndpointUse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndpointUseT NativeTableType;
+  typedef EndpointUseBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_PROTOCOLVERSION = 4,
-    VT_CORRELATIONID = 6,
-    VT_TIMELEFTMS = 8,
-    VT_ISREPLY = 10,
-    VT_BODY_TYPE = 12,
-    VT_BODY = 14
+    VT_ENDPOINT = 4,
+    VT_ONLINE = 6,
+    VT_BATCH = 8
   };
-  uint16_t protocolVersion() const {
-    return GetField<uint16_t>(VT_PROTOCOLVERSION, 0);
-  }
-  uint64_t correlationId() const {
-    return GetField<uint64_t>(VT_CORRELATIONID, 0);
-  }
-  uint32_t timeLeftMs() const {
-    return GetField<uint32_t>(VT_TIMELEFTMS, 0);
-  }
-  bool isReply() const {
-    return GetField<uint8_t>(VT_ISREPLY, 0) != 0;
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
   }
-  pistachiofall::wire::Body body_type() const {
-    return static_cast<pistachiofall::wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  uint16_t online() const {
+    return GetField<uint16_t>(VT_ONLINE, 0);
   }
-  const void *body() const {
-    return GetPointer<const void *>(VT_BODY);
+  uint16_t batch() const {
+    return GetField<uint16_t>(VT_BATCH, 0);
   }
-  template<typename T> const T *body_as() const;
-  const pistachiofall::wire::Ping *body_as_Ping() const {
-    return body_type() == pistachiofall::wire::Body::Ping ? static_cast<const pistachiofall::wire::Ping *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint16_t>(verifier, VT_ONLINE, 2) &&
+           VerifyField<uint16_t>(verifier, VT_BATCH, 2) &&
+           verifier.EndTable();
   }
-  const pistachiofall::wire::Pong *body_as_Pong() const {
-    return body_type() == pistachiofall::wire::Body::Pong ? static_cast<const pistachiofall::wire::Pong *>(body()) : nullptr;
+  EndpointUseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EndpointUseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EndpointUse> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointUseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EndpointUseBuilder {
+  typedef EndpointUse Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(EndpointUse::VT_ENDPOINT, endpoint);
   }
-  const pistachiofall::wire::Heartbeat *body_as_Heartbeat() const {
-    return body_type() == pistachiofall::wire::Body::Heartbeat ? static_cast<const pistachiofall::wire::Heartbeat *>(body()) : nullptr;
+  void add_online(uint16_t online) {
+    fbb_.AddElement<uint16_t>(EndpointUse::VT_ONLINE, online, 0);
   }
-  const pistachiofall::wire::RulesFetch *body_as_RulesFetch() const {
-    return body_type() == pistachiofall::wire::Body::RulesFetch ? static_cast<const pistachiofall::wire::RulesFetch *>(body()) : nullptr;
+  void add_batch(uint16_t batch) {
+    fbb_.AddElement<uint16_t>(EndpointUse::VT_BATCH, batch, 0);
   }
-  const pistachiofall::wire::RulesData *body_as_RulesData() const {
-    return body_type() == pistachiofall::wire::Body::RulesData ? static_cast<const pistachiofall::wire::RulesData *>(body()) : nullptr;
+  explicit EndpointUseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const pistachiofall::wire::TableFetch *body_as_TableFetch() const {
-    return body_type() == pistachiofall::wire::Body::TableFetch ? static_cast<const pistachiofall::wire::TableFetch *>(body()) : nullptr;
+  flatbuffers::Offset<EndpointUse> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndpointUse>(end);
+    return o;
   }
-  const pistachiofall::wire::TableData *body_as_TableData() const {
-    return body_type() == pistachiofall::wire::Body::TableData ? static_cast<const pistachiofall::wire::TableData *>(body()) : nullptr;
+};
+
+inline flatbuffers::Offset<EndpointUse> CreateEndpointUse(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint16_t online = 0,
+    uint16_t batch = 0) {
+  EndpointUseBuilder builder_(_fbb);
+  builder_.add_endpoint(endpoint);
+  builder_.add_batch(batch);
+  builder_.add_online(online);
+  return builder_.Finish();
+}
+
+struct EndpointUse::Traits {
+  using type = EndpointUse;
+  static auto constexpr Create = CreateEndpointUse;
+};
+
+inline flatbuffers::Offset<EndpointUse> CreateEndpointUseDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    uint16_t online = 0,
+    uint16_t batch = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return pistachiofall::wire::CreateEndpointUse(
+      _fbb,
+      endpoint__,
+      online,
+      batch);
+}
+
+flatbuffers::Offset<EndpointUse> CreateEndpointUse(flatbuffers::FlatBufferBuilder &_fbb, const EndpointUseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OrganisationUseT : public flatbuffers::NativeTable {
+  typedef OrganisationUse TableType;
+  std::string organisation{};
+  uint32_t requests = 0;
+};
+
+struct OrganisationUse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OrganisationUseT NativeTableType;
+  typedef OrganisationUseBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORGANISATION = 4,
+    VT_REQUESTS = 6
+  };
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
   }
-  const pistachiofall::wire::TokenRequest *body_as_TokenRequest() const {
-    return body_type() == pistachiofall::wire::Body::TokenRequest ? static_cast<const pistachiofall::wire::TokenRequest *>(body()) : nullptr;
+  uint32_t requests() const {
+    return GetField<uint32_t>(VT_REQUESTS, 0);
   }
-  const pistachiofall::wire::TokenReply *body_as_TokenReply() const {
-    return body_type() == pistachiofall::wire::Body::TokenReply ? static_cast<const pistachiofall::wire::TokenReply *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
+           verifier.EndTable();
   }
-  const pistachiofall::wire::SlotRequest *body_as_SlotRequest() const {
-    return body_type() == pistachiofall::wire::Body::SlotRequest ? static_cast<const pistachiofall::wire::SlotRequest *>(body()) : nullptr;
+  OrganisationUseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OrganisationUseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OrganisationUse> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrganisationUseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OrganisationUseBuilder {
+  typedef OrganisationUse Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(OrganisationUse::VT_ORGANISATION, organisation);
   }
-  const pistachiofall::wire::SlotReply *body_as_SlotReply() const {
-    return body_type() == pistachiofall::wire::Body::SlotReply ? static_cast<const pistachiofall::wire::SlotReply *>(body()) : nullptr;
+  void add_requests(uint32_t requests) {
+    fbb_.AddElement<uint32_t>(OrganisationUse::VT_REQUESTS, requests, 0);
   }
-  const pistachiofall::wire::SlotRenew *body_as_SlotRenew() const {
-    return body_type() == pistachiofall::wire::Body::SlotRenew ? static_cast<const pistachiofall::wire::SlotRenew *>(body()) : nullptr;
+  explicit OrganisationUseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const pistachiofall::wire::SlotRelease *body_as_SlotRelease() const {
-    return body_type() == pistachiofall::wire::Body::SlotRelease ? static_cast<const pistachiofall::wire::SlotRelease *>(body()) : nullptr;
+  flatbuffers::Offset<OrganisationUse> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OrganisationUse>(end);
+    return o;
   }
-  const pistachiofall::wire::SlotRevoke *body_as_SlotRevoke() const {
-    return body_type() == pistachiofall::wire::Body::SlotRevoke ? static_cast<const pistachiofall::wire::SlotRevoke *>(body()) : nullptr;
+};
+
+inline flatbuffers::Offset<OrganisationUse> CreateOrganisationUse(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    uint32_t requests = 0) {
+  OrganisationUseBuilder builder_(_fbb);
+  builder_.add_requests(requests);
+  builder_.add_organisation(organisation);
+  return builder_.Finish();
+}
+
+struct OrganisationUse::Traits {
+  using type = OrganisationUse;
+  static auto constexpr Create = CreateOrganisationUse;
+};
+
+inline flatbuffers::Offset<OrganisationUse> CreateOrganisationUseDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *organisation = nullptr,
+    uint32_t requests = 0) {
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  return pistachiofall::wire::CreateOrganisationUse(
+      _fbb,
+      organisation__,
+      requests);
+}
+
+flatbuffers::Offset<OrganisationUse> CreateOrganisationUse(flatbuffers::FlatBufferBuilder &_fbb, const OrganisationUseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ServiceQueueT : public flatbuffers::NativeTable {
+  typedef ServiceQueue TableType;
+  std::string service{};
+  uint16_t waiting = 0;
+};
+
+struct ServiceQueue FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServiceQueueT NativeTableType;
+  typedef ServiceQueueBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_WAITING = 6
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
   }
-  const pistachiofall::wire::SlotAck *body_as_SlotAck() const {
-    return body_type() == pistachiofall::wire::Body::SlotAck ? static_cast<const pistachiofall::wire::SlotAck *>(body()) : nullptr;
+  uint16_t waiting() const {
+    return GetField<uint16_t>(VT_WAITING, 0);
   }
-  const pistachiofall::wire::SlotSurvey *body_as_SlotSurvey() const {
-    return body_type() == pistachiofall::wire::Body::SlotSurvey ? static_cast<const pistachiofall::wire::SlotSurvey *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint16_t>(verifier, VT_WAITING, 2) &&
+           verifier.EndTable();
   }
-  const pistachiofall::wire::SlotHoldings *body_as_SlotHoldings() const {
-    return body_type() == pistachiofall::wire::Body::SlotHoldings ? static_cast<const pistachiofall::wire::SlotHoldings *>(body()) : nullptr;
+  ServiceQueueT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ServiceQueueT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ServiceQueue> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServiceQueueT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ServiceQueueBuilder {
+  typedef ServiceQueue Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ServiceQueue::VT_SERVICE, service);
   }
-  const pistachiofall::wire::JobNotice *body_as_JobNotice() const {
-    return body_type() == pistachiofall::wire::Body::JobNotice ? static_cast<const pistachiofall::wire::JobNotice *>(body()) : nullptr;
+  void add_waiting(uint16_t waiting) {
+    fbb_.AddElement<uint16_t>(ServiceQueue::VT_WAITING, waiting, 0);
   }
-  const pistachiofall::wire::PlaceRequest *body_as_PlaceRequest() const {
-    return body_type() == pistachiofall::wire::Body::PlaceRequest ? static_cast<const pistachiofall::wire::PlaceRequest *>(body()) : nullptr;
+  explicit ServiceQueueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const pistachiofall::wire::PlaceRelease *body_as_PlaceRelease() const {
-    return body_type() == pistachiofall::wire::Body::PlaceRelease ? static_cast<const pistachiofall::wire::PlaceRelease *>(body()) : nullptr;
+  flatbuffers::Offset<ServiceQueue> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServiceQueue>(end);
+    return o;
   }
-  const pistachiofall::wire::ListFetch *body_as_ListFetch() const {
-    return body_type() == pistachiofall::wire::Body::ListFetch ? static_cast<const pistachiofall::wire::ListFetch *>(body()) : nullptr;
+};
+
+inline flatbuffers::Offset<ServiceQueue> CreateServiceQueue(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint16_t waiting = 0) {
+  ServiceQueueBuilder builder_(_fbb);
+  builder_.add_service(service);
+  builder_.add_waiting(waiting);
+  return builder_.Finish();
+}
+
+struct ServiceQueue::Traits {
+  using type = ServiceQueue;
+  static auto constexpr Create = CreateServiceQueue;
+};
+
+inline flatbuffers::Offset<ServiceQueue> CreateServiceQueueDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint16_t waiting = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return pistachiofall::wire::CreateServiceQueue(
+      _fbb,
+      service__,
+      waiting);
+}
+
+flatbuffers::Offset<ServiceQueue> CreateServiceQueue(flatbuffers::FlatBufferBuilder &_fbb, const ServiceQueueT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FleetMemberT : public flatbuffers::NativeTable {
+  typedef FleetMember TableType;
+  std::string instance{};
+  std::string address{};
+  std::string failureDomain{};
+  bool takesCallers = false;
+};
+
+struct FleetMember FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FleetMemberT NativeTableType;
+  typedef FleetMemberBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INSTANCE = 4,
+    VT_ADDRESS = 6,
+    VT_FAILUREDOMAIN = 8,
+    VT_TAKESCALLERS = 10
+  };
+  const flatbuffers::String *instance() const {
+    return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
   }
-  const pistachiofall::wire::ListData *body_as_ListData() const {
-    return body_type() == pistachiofall::wire::Body::ListData ? static_cast<const pistachiofall::wire::ListData *>(body()) : nullptr;
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
   }
-  const pistachiofall::wire::RolloutReport *body_as_RolloutReport() const {
-    return body_type() == pistachiofall::wire::Body::RolloutReport ? static_cast<const pistachiofall::wire::RolloutReport *>(body()) : nullptr;
+  const flatbuffers::String *failureDomain() const {
+    return GetPointer<const flatbuffers::String *>(VT_FAILUREDOMAIN);
   }
-  const pistachiofall::wire::RolloutReply *body_as_RolloutReply() const {
-    return body_type() == pistachiofall::wire::Body::RolloutReply ? static_cast<const pistachiofall::wire::RolloutReply *>(body()) : nullptr;
+  bool takesCallers() const {
+    return GetField<uint8_t>(VT_TAKESCALLERS, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint16_t>(verifier, VT_PROTOCOLVERSION, 2) &&
-           VerifyField<uint64_t>(verifier, VT_CORRELATIONID, 8) &&
-           VerifyField<uint32_t>(verifier, VT_TIMELEFTMS, 4) &&
-           VerifyField<uint8_t>(verifier, VT_ISREPLY, 1) &&
-           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
-           VerifyOffset(verifier, VT_BODY) &&
-           VerifyBody(verifier, body(), body_type()) &&
+           VerifyOffset(verifier, VT_INSTANCE) &&
+           verifier.VerifyString(instance()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_FAILUREDOMAIN) &&
+           verifier.VerifyString(failureDomain()) &&
+           VerifyField<uint8_t>(verifier, VT_TAKESCALLERS, 1) &&
            verifier.EndTable();
   }
-  EnvelopeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(EnvelopeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EnvelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  FleetMemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FleetMemberT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<FleetMember> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetMemberT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FleetMemberBuilder {
+  typedef FleetMember Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_instance(flatbuffers::Offset<flatbuffers::String> instance) {
+    fbb_.AddOffset(FleetMember::VT_INSTANCE, instance);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(FleetMember::VT_ADDRESS, address);
+  }
+  void add_failureDomain(flatbuffers::Offset<flatbuffers::String> failureDomain) {
+    fbb_.AddOffset(FleetMember::VT_FAILUREDOMAIN, failureDomain);
+  }
+  void add_takesCallers(bool takesCallers) {
+    fbb_.AddElement<uint8_t>(FleetMember::VT_TAKESCALLERS, static_cast<uint8_t>(takesCallers), 0);
+  }
+  explicit FleetMemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FleetMember> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FleetMember>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FleetMember> CreateFleetMember(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> instance = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> failureDomain = 0,
+    bool takesCallers = false) {
+  FleetMemberBuilder builder_(_fbb);
+  builder_.add_failureDomain(failureDomain);
+  builder_.add_address(address);
+  builder_.add_instance(instance);
+  builder_.add_takesCallers(takesCallers);
+  return builder_.Finish();
+}
+
+struct FleetMember::Traits {
+  using type = FleetMember;
+  static auto constexpr Create = CreateFleetMember;
+};
+
+inline flatbuffers::Offset<FleetMember> CreateFleetMemberDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *instance = nullptr,
+    const char *address = nullptr,
+    const char *failureDomain = nullptr,
+    bool takesCallers = false) {
+  auto instance__ = instance ? _fbb.CreateString(instance) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto failureDomain__ = failureDomain ? _fbb.CreateString(failureDomain) : 0;
+  return pistachiofall::wire::CreateFleetMember(
+      _fbb,
+      instance__,
+      address__,
+      failureDomain__,
+      takesCallers);
+}
+
+flatbuffers::Offset<FleetMember> CreateFleetMember(flatbuffers::FlatBufferBuilder &_fbb, const FleetMemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FleetReportT : public flatbuffers::NativeTable {
+  typedef FleetReport TableType;
+  std::unique_ptr<pistachiofall::wire::FleetMemberT> sender{};
+  uint64_t incarnation = 0;
+  uint64_t sequence = 0;
+  uint64_t configVersion = 0;
+  uint32_t uptimeMs = 0;
+  uint32_t storeAgeMs = 0;
+  bool leaving = false;
+  std::vector<std::unique_ptr<pistachiofall::wire::EndpointUseT>> endpoints{};
+  std::vector<std::unique_ptr<pistachiofall::wire::OrganisationUseT>> organisations{};
+  std::vector<std::unique_ptr<pistachiofall::wire::ServiceQueueT>> queues{};
+  FleetReportT() = default;
+  FleetReportT(const FleetReportT &o);
+  FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  FleetReportT &operator=(FleetReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FleetReportT NativeTableType;
+  typedef FleetReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENDER = 4,
+    VT_INCARNATION = 6,
+    VT_SEQUENCE = 8,
+    VT_CONFIGVERSION = 10,
+    VT_UPTIMEMS = 12,
+    VT_STOREAGEMS = 14,
+    VT_LEAVING = 16,
+    VT_ENDPOINTS = 18,
+    VT_ORGANISATIONS = 20,
+    VT_QUEUES = 22
+  };
+  const pistachiofall::wire::FleetMember *sender() const {
+    return GetPointer<const pistachiofall::wire::FleetMember *>(VT_SENDER);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint64_t configVersion() const {
+    return GetField<uint64_t>(VT_CONFIGVERSION, 0);
+  }
+  uint32_t uptimeMs() const {
+    return GetField<uint32_t>(VT_UPTIMEMS, 0);
+  }
+  uint32_t storeAgeMs() const {
+    return GetField<uint32_t>(VT_STOREAGEMS, 0);
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>> *endpoints() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>> *>(VT_ENDPOINTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>> *organisations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>> *>(VT_ORGANISATIONS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *queues() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *>(VT_QUEUES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SENDER) &&
+           verifier.VerifyTable(sender()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGVERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_UPTIMEMS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STOREAGEMS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyOffset(verifier, VT_ENDPOINTS) &&
+           verifier.VerifyVector(endpoints()) &&
+           verifier.VerifyVectorOfTables(endpoints()) &&
+           VerifyOffset(verifier, VT_ORGANISATIONS) &&
+           verifier.VerifyVector(organisations()) &&
+           verifier.VerifyVectorOfTables(organisations()) &&
+           VerifyOffset(verifier, VT_QUEUES) &&
+           verifier.VerifyVector(queues()) &&
+           verifier.VerifyVectorOfTables(queues()) &&
+           verifier.EndTable();
+  }
+  FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FleetReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<FleetReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FleetReportBuilder {
+  typedef FleetReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sender(flatbuffers::Offset<pistachiofall::wire::FleetMember> sender) {
+    fbb_.AddOffset(FleetReport::VT_SENDER, sender);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_INCARNATION, incarnation, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_SEQUENCE, sequence, 0);
+  }
+  void add_configVersion(uint64_t configVersion) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_CONFIGVERSION, configVersion, 0);
+  }
+  void add_uptimeMs(uint32_t uptimeMs) {
+    fbb_.AddElement<uint32_t>(FleetReport::VT_UPTIMEMS, uptimeMs, 0);
+  }
+  void add_storeAgeMs(uint32_t storeAgeMs) {
+    fbb_.AddElement<uint32_t>(FleetReport::VT_STOREAGEMS, storeAgeMs, 0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>>> endpoints) {
+    fbb_.AddOffset(FleetReport::VT_ENDPOINTS, endpoints);
+  }
+  void add_organisations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>>> organisations) {
+    fbb_.AddOffset(FleetReport::VT_ORGANISATIONS, organisations);
+  }
+  void add_queues(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> queues) {
+    fbb_.AddOffset(FleetReport::VT_QUEUES, queues);
+  }
+  explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FleetReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FleetReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FleetReport> CreateFleetReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<pistachiofall::wire::FleetMember> sender = 0,
+    uint64_t incarnation = 0,
+    uint64_t sequence = 0,
+    uint64_t configVersion = 0,
+    uint32_t uptimeMs = 0,
+    uint32_t storeAgeMs = 0,
+    bool leaving = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>>> endpoints = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>>> organisations = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> queues = 0) {
+  FleetReportBuilder builder_(_fbb);
+  builder_.add_configVersion(configVersion);
+  builder_.add_sequence(sequence);
+  builder_.add_incarnation(incarnation);
+  builder_.add_queues(queues);
+  builder_.add_organisations(organisations);
+  builder_.add_endpoints(endpoints);
+  builder_.add_storeAgeMs(storeAgeMs);
+  builder_.add_uptimeMs(uptimeMs);
+  builder_.add_sender(sender);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
+}
+
+struct FleetReport::Traits {
+  using type = FleetReport;
+  static auto constexpr Create = CreateFleetReport;
+};
+
+inline flatbuffers::Offset<FleetReport> CreateFleetReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<pistachiofall::wire::FleetMember> sender = 0,
+    uint64_t incarnation = 0,
+    uint64_t sequence = 0,
+    uint64_t configVersion = 0,
+    uint32_t uptimeMs = 0,
+    uint32_t storeAgeMs = 0,
+    bool leaving = false,
+    const std::vector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>> *endpoints = nullptr,
+    const std::vector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>> *organisations = nullptr,
+    const std::vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *queues = nullptr) {
+  auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>>(*endpoints) : 0;
+  auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>>(*organisations) : 0;
+  auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*queues) : 0;
+  return pistachiofall::wire::CreateFleetReport(
+      _fbb,
+      sender,
+      incarnation,
+      sequence,
+      configVersion,
+      uptimeMs,
+      storeAgeMs,
+      leaving,
+      endpoints__,
+      organisations__,
+      queues__);
+}
+
+flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FleetReportReplyT : public flatbuffers::NativeTable {
+  typedef FleetReportReply TableType;
+  uint64_t configVersion = 0;
+  std::vector<std::unique_ptr<pistachiofall::wire::FleetMemberT>> members{};
+  FleetReportReplyT() = default;
+  FleetReportReplyT(const FleetReportReplyT &o);
+  FleetReportReplyT(FleetReportReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  FleetReportReplyT &operator=(FleetReportReplyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct FleetReportReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FleetReportReplyT NativeTableType;
+  typedef FleetReportReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CONFIGVERSION = 4,
+    VT_MEMBERS = 6
+  };
+  uint64_t configVersion() const {
+    return GetField<uint64_t>(VT_CONFIGVERSION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::FleetMember>> *members() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::FleetMember>> *>(VT_MEMBERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGVERSION, 8) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
+           verifier.VerifyVectorOfTables(members()) &&
+           verifier.EndTable();
+  }
+  FleetReportReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FleetReportReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<FleetReportReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FleetReportReplyBuilder {
+  typedef FleetReportReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_configVersion(uint64_t configVersion) {
+    fbb_.AddElement<uint64_t>(FleetReportReply::VT_CONFIGVERSION, configVersion, 0);
+  }
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::FleetMember>>> members) {
+    fbb_.AddOffset(FleetReportReply::VT_MEMBERS, members);
+  }
+  explicit FleetReportReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FleetReportReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FleetReportReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FleetReportReply> CreateFleetReportReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t configVersion = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::FleetMember>>> members = 0) {
+  FleetReportReplyBuilder builder_(_fbb);
+  builder_.add_configVersion(configVersion);
+  builder_.add_members(members);
+  return builder_.Finish();
+}
+
+struct FleetReportReply::Traits {
+  using type = FleetReportReply;
+  static auto constexpr Create = CreateFleetReportReply;
+};
+
+inline flatbuffers::Offset<FleetReportReply> CreateFleetReportReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t configVersion = 0,
+    const std::vector<flatbuffers::Offset<pistachiofall::wire::FleetMember>> *members = nullptr) {
+  auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::FleetMember>>(*members) : 0;
+  return pistachiofall::wire::CreateFleetReportReply(
+      _fbb,
+      configVersion,
+      members__);
+}
+
+flatbuffers::Offset<FleetReportReply> CreateFleetReportReply(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ConfigFetchT : public flatbuffers::NativeTable {
+  typedef ConfigFetch TableType;
+  uint64_t knownVersion = 0;
+};
+
+struct ConfigFetch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigFetchT NativeTableType;
+  typedef ConfigFetchBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KNOWNVERSION = 4
+  };
+  uint64_t knownVersion() const {
+    return GetField<uint64_t>(VT_KNOWNVERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWNVERSION, 8) &&
+           verifier.EndTable();
+  }
+  ConfigFetchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ConfigFetchT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ConfigFetch> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigFetchT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ConfigFetchBuilder {
+  typedef ConfigFetch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_knownVersion(uint64_t knownVersion) {
+    fbb_.AddElement<uint64_t>(ConfigFetch::VT_KNOWNVERSION, knownVersion, 0);
+  }
+  explicit ConfigFetchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigFetch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigFetch>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigFetch> CreateConfigFetch(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t knownVersion = 0) {
+  ConfigFetchBuilder builder_(_fbb);
+  builder_.add_knownVersion(knownVersion);
+  return builder_.Finish();
+}
+
+struct ConfigFetch::Traits {
+  using type = ConfigFetch;
+  static auto constexpr Create = CreateConfigFetch;
+};
+
+flatbuffers::Offset<ConfigFetch> CreateConfigFetch(flatbuffers::FlatBufferBuilder &_fbb, const ConfigFetchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ConfigDataT : public flatbuffers::NativeTable {
+  typedef ConfigData TableType;
+  uint64_t version = 0;
+  std::vector<uint8_t> payload{};
+};
+
+struct ConfigData FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigDataT NativeTableType;
+  typedef ConfigDataBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_PAYLOAD = 6
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *payload() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PAYLOAD);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_PAYLOAD) &&
+           verifier.VerifyVector(payload()) &&
+           verifier.EndTable();
+  }
+  ConfigDataT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ConfigDataT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ConfigData> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigDataT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ConfigDataBuilder {
+  typedef ConfigData Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(ConfigData::VT_VERSION, version, 0);
+  }
+  void add_payload(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload) {
+    fbb_.AddOffset(ConfigData::VT_PAYLOAD, payload);
+  }
+  explicit ConfigDataBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigData> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigData>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigData> CreateConfigData(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0) {
+  ConfigDataBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_payload(payload);
+  return builder_.Finish();
+}
+
+struct ConfigData::Traits {
+  using type = ConfigData;
+  static auto constexpr Create = CreateConfigData;
+};
+
+inline flatbuffers::Offset<ConfigData> CreateConfigDataDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const std::vector<uint8_t> *payload = nullptr) {
+  auto payload__ = payload ? _fbb.CreateVector<uint8_t>(*payload) : 0;
+  return pistachiofall::wire::CreateConfigData(
+      _fbb,
+      version,
+      payload__);
+}
+
+flatbuffers::Offset<ConfigData> CreateConfigData(flatbuffers::FlatBufferBuilder &_fbb, const ConfigDataT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobEndedT : public flatbuffers::NativeTable {
+  typedef JobEnded TableType;
+  std::string jobId{};
+};
+
+struct JobEnded FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobEndedT NativeTableType;
+  typedef JobEndedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOBID = 4
+  };
+  const flatbuffers::String *jobId() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOBID);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOBID) &&
+           verifier.VerifyString(jobId()) &&
+           verifier.EndTable();
+  }
+  JobEndedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobEndedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobEnded> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobEndedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobEndedBuilder {
+  typedef JobEnded Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_jobId(flatbuffers::Offset<flatbuffers::String> jobId) {
+    fbb_.AddOffset(JobEnded::VT_JOBID, jobId);
+  }
+  explicit JobEndedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobEnded> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobEnded>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobEnded> CreateJobEnded(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> jobId = 0) {
+  JobEndedBuilder builder_(_fbb);
+  builder_.add_jobId(jobId);
+  return builder_.Finish();
+}
+
+struct JobEnded::Traits {
+  using type = JobEnded;
+  static auto constexpr Create = CreateJobEnded;
+};
+
+inline flatbuffers::Offset<JobEnded> CreateJobEndedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *jobId = nullptr) {
+  auto jobId__ = jobId ? _fbb.CreateString(jobId) : 0;
+  return pistachiofall::wire::CreateJobEnded(
+      _fbb,
+      jobId__);
+}
+
+flatbuffers::Offset<JobEnded> CreateJobEnded(flatbuffers::FlatBufferBuilder &_fbb, const JobEndedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EnvelopeT : public flatbuffers::NativeTable {
+  typedef Envelope TableType;
+  uint16_t protocolVersion = 0;
+  uint64_t correlationId = 0;
+  uint32_t timeLeftMs = 0;
+  bool isReply = false;
+  pistachiofall::wire::BodyUnion body{};
+};
+
+struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EnvelopeT NativeTableType;
+  typedef EnvelopeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PROTOCOLVERSION = 4,
+    VT_CORRELATIONID = 6,
+    VT_TIMELEFTMS = 8,
+    VT_ISREPLY = 10,
+    VT_BODY_TYPE = 12,
+    VT_BODY = 14
+  };
+  uint16_t protocolVersion() const {
+    return GetField<uint16_t>(VT_PROTOCOLVERSION, 0);
+  }
+  uint64_t correlationId() const {
+    return GetField<uint64_t>(VT_CORRELATIONID, 0);
+  }
+  uint32_t timeLeftMs() const {
+    return GetField<uint32_t>(VT_TIMELEFTMS, 0);
+  }
+  bool isReply() const {
+    return GetField<uint8_t>(VT_ISREPLY, 0) != 0;
+  }
+  pistachiofall::wire::Body body_type() const {
+    return static_cast<pistachiofall::wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  }
+  const void *body() const {
+    return GetPointer<const void *>(VT_BODY);
+  }
+  template<typename T> const T *body_as() const;
+  const pistachiofall::wire::Ping *body_as_Ping() const {
+    return body_type() == pistachiofall::wire::Body::Ping ? static_cast<const pistachiofall::wire::Ping *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::Pong *body_as_Pong() const {
+    return body_type() == pistachiofall::wire::Body::Pong ? static_cast<const pistachiofall::wire::Pong *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::Heartbeat *body_as_Heartbeat() const {
+    return body_type() == pistachiofall::wire::Body::Heartbeat ? static_cast<const pistachiofall::wire::Heartbeat *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::RulesFetch *body_as_RulesFetch() const {
+    return body_type() == pistachiofall::wire::Body::RulesFetch ? static_cast<const pistachiofall::wire::RulesFetch *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::RulesData *body_as_RulesData() const {
+    return body_type() == pistachiofall::wire::Body::RulesData ? static_cast<const pistachiofall::wire::RulesData *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::TableFetch *body_as_TableFetch() const {
+    return body_type() == pistachiofall::wire::Body::TableFetch ? static_cast<const pistachiofall::wire::TableFetch *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::TableData *body_as_TableData() const {
+    return body_type() == pistachiofall::wire::Body::TableData ? static_cast<const pistachiofall::wire::TableData *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::TokenRequest *body_as_TokenRequest() const {
+    return body_type() == pistachiofall::wire::Body::TokenRequest ? static_cast<const pistachiofall::wire::TokenRequest *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::TokenReply *body_as_TokenReply() const {
+    return body_type() == pistachiofall::wire::Body::TokenReply ? static_cast<const pistachiofall::wire::TokenReply *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::SlotRequest *body_as_SlotRequest() const {
+    return body_type() == pistachiofall::wire::Body::SlotRequest ? static_cast<const pistachiofall::wire::SlotRequest *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::SlotReply *body_as_SlotReply() const {
+    return body_type() == pistachiofall::wire::Body::SlotReply ? static_cast<const pistachiofall::wire::SlotReply *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::SlotRenew *body_as_SlotRenew() const {
+    return body_type() == pistachiofall::wire::Body::SlotRenew ? static_cast<const pistachiofall::wire::SlotRenew *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::SlotRelease *body_as_SlotRelease() const {
+    return body_type() == pistachiofall::wire::Body::SlotRelease ? static_cast<const pistachiofall::wire::SlotRelease *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::SlotRevoke *body_as_SlotRevoke() const {
+    return body_type() == pistachiofall::wire::Body::SlotRevoke ? static_cast<const pistachiofall::wire::SlotRevoke *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::SlotAck *body_as_SlotAck() const {
+    return body_type() == pistachiofall::wire::Body::SlotAck ? static_cast<const pistachiofall::wire::SlotAck *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::SlotSurvey *body_as_SlotSurvey() const {
+    return body_type() == pistachiofall::wire::Body::SlotSurvey ? static_cast<const pistachiofall::wire::SlotSurvey *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::SlotHoldings *body_as_SlotHoldings() const {
+    return body_type() == pistachiofall::wire::Body::SlotHoldings ? static_cast<const pistachiofall::wire::SlotHoldings *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::JobNotice *body_as_JobNotice() const {
+    return body_type() == pistachiofall::wire::Body::JobNotice ? static_cast<const pistachiofall::wire::JobNotice *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::PlaceRequest *body_as_PlaceRequest() const {
+    return body_type() == pistachiofall::wire::Body::PlaceRequest ? static_cast<const pistachiofall::wire::PlaceRequest *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::PlaceRelease *body_as_PlaceRelease() const {
+    return body_type() == pistachiofall::wire::Body::PlaceRelease ? static_cast<const pistachiofall::wire::PlaceRelease *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::ListFetch *body_as_ListFetch() const {
+    return body_type() == pistachiofall::wire::Body::ListFetch ? static_cast<const pistachiofall::wire::ListFetch *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::ListData *body_as_ListData() const {
+    return body_type() == pistachiofall::wire::Body::ListData ? static_cast<const pistachiofall::wire::ListData *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::RolloutReport *body_as_RolloutReport() const {
+    return body_type() == pistachiofall::wire::Body::RolloutReport ? static_cast<const pistachiofall::wire::RolloutReport *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::RolloutReply *body_as_RolloutReply() const {
+    return body_type() == pistachiofall::wire::Body::RolloutReply ? static_cast<const pistachiofall::wire::RolloutReply *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::FleetReport *body_as_FleetReport() const {
+    return body_type() == pistachiofall::wire::Body::FleetReport ? static_cast<const pistachiofall::wire::FleetReport *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::FleetReportReply *body_as_FleetReportReply() const {
+    return body_type() == pistachiofall::wire::Body::FleetReportReply ? static_cast<const pistachiofall::wire::FleetReportReply *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::ConfigFetch *body_as_ConfigFetch() const {
+    return body_type() == pistachiofall::wire::Body::ConfigFetch ? static_cast<const pistachiofall::wire::ConfigFetch *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::ConfigData *body_as_ConfigData() const {
+    return body_type() == pistachiofall::wire::Body::ConfigData ? static_cast<const pistachiofall::wire::ConfigData *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::JobEnded *body_as_JobEnded() const {
+    return body_type() == pistachiofall::wire::Body::JobEnded ? static_cast<const pistachiofall::wire::JobEnded *>(body()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint16_t>(verifier, VT_PROTOCOLVERSION, 2) &&
+           VerifyField<uint64_t>(verifier, VT_CORRELATIONID, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TIMELEFTMS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_ISREPLY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           VerifyBody(verifier, body(), body_type()) &&
+           verifier.EndTable();
+  }
+  EnvelopeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EnvelopeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EnvelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
 template<> inline const pistachiofall::wire::Ping *Envelope::body_as<pistachiofall::wire::Ping>() const {
@@ -3459,6 +4462,26 @@
   return body_as_RolloutReply();
 }
 
+template<> inline const pistachiofall::wire::FleetReport *Envelope::body_as<pistachiofall::wire::FleetReport>() const {
+  return body_as_FleetReport();
+}
+
+template<> inline const pistachiofall::wire::FleetReportReply *Envelope::body_as<pistachiofall::wire::FleetReportReply>() const {
+  return body_as_FleetReportReply();
+}
+
+template<> inline const pistachiofall::wire::ConfigFetch *Envelope::body_as<pistachiofall::wire::ConfigFetch>() const {
+  return body_as_ConfigFetch();
+}
+
+template<> inline const pistachiofall::wire::ConfigData *Envelope::body_as<pistachiofall::wire::ConfigData>() const {
+  return body_as_ConfigData();
+}
+
+template<> inline const pistachiofall::wire::JobEnded *Envelope::body_as<pistachiofall::wire::JobEnded>() const {
+  return body_as_JobEnded();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4379,6 +5402,336 @@
       _permitted);
 }
 
+inline EndpointUseT *EndpointUse::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EndpointUseT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EndpointUse::UnPackTo(EndpointUseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = online(); _o->online = _e; }
+  { auto _e = batch(); _o->batch = _e; }
+}
+
+inline flatbuffers::Offset<EndpointUse> EndpointUse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointUseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEndpointUse(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EndpointUse> CreateEndpointUse(flatbuffers::FlatBufferBuilder &_fbb, const EndpointUseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndpointUseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _online = _o->online;
+  auto _batch = _o->batch;
+  return pistachiofall::wire::CreateEndpointUse(
+      _fbb,
+      _endpoint,
+      _online,
+      _batch);
+}
+
+inline OrganisationUseT *OrganisationUse::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OrganisationUseT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OrganisationUse::UnPackTo(OrganisationUseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
+  { auto _e = requests(); _o->requests = _e; }
+}
+
+inline flatbuffers::Offset<OrganisationUse> OrganisationUse::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OrganisationUseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOrganisationUse(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OrganisationUse> CreateOrganisationUse(flatbuffers::FlatBufferBuilder &_fbb, const OrganisationUseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OrganisationUseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
+  auto _requests = _o->requests;
+  return pistachiofall::wire::CreateOrganisationUse(
+      _fbb,
+      _organisation,
+      _requests);
+}
+
+inline ServiceQueueT *ServiceQueue::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ServiceQueueT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ServiceQueue::UnPackTo(ServiceQueueT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = waiting(); _o->waiting = _e; }
+}
+
+inline flatbuffers::Offset<ServiceQueue> ServiceQueue::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServiceQueueT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServiceQueue(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ServiceQueue> CreateServiceQueue(flatbuffers::FlatBufferBuilder &_fbb, const ServiceQueueT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServiceQueueT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _waiting = _o->waiting;
+  return pistachiofall::wire::CreateServiceQueue(
+      _fbb,
+      _service,
+      _waiting);
+}
+
+inline FleetMemberT *FleetMember::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FleetMemberT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void FleetMember::UnPackTo(FleetMemberT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = instance(); if (_e) _o->instance = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = failureDomain(); if (_e) _o->failureDomain = _e->str(); }
+  { auto _e = takesCallers(); _o->takesCallers = _e; }
+}
+
+inline flatbuffers::Offset<FleetMember> FleetMember::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetMemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFleetMember(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<FleetMember> CreateFleetMember(flatbuffers::FlatBufferBuilder &_fbb, const FleetMemberT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FleetMemberT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _instance = _o->instance.empty() ? 0 : _fbb.CreateString(_o->instance);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _failureDomain = _o->failureDomain.empty() ? 0 : _fbb.CreateString(_o->failureDomain);
+  auto _takesCallers = _o->takesCallers;
+  return pistachiofall::wire::CreateFleetMember(
+      _fbb,
+      _instance,
+      _address,
+      _failureDomain,
+      _takesCallers);
+}
+
+inline FleetReportT::FleetReportT(const FleetReportT &o)
+      : sender((o.sender) ? new pistachiofall::wire::FleetMemberT(*o.sender) : nullptr),
+        incarnation(o.incarnation),
+        sequence(o.sequence),
+        configVersion(o.configVersion),
+        uptimeMs(o.uptimeMs),
+        storeAgeMs(o.storeAgeMs),
+        leaving(o.leaving) {
+  endpoints.reserve(o.endpoints.size());
+  for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new pistachiofall::wire::EndpointUseT(*endpoints_) : nullptr); }
+  organisations.reserve(o.organisations.size());
+  for (const auto &organisations_ : o.organisations) { organisations.emplace_back((organisations_) ? new pistachiofall::wire::OrganisationUseT(*organisations_) : nullptr); }
+  queues.reserve(o.queues.size());
+  for (const auto &queues_ : o.queues) { queues.emplace_back((queues_) ? new pistachiofall::wire::ServiceQueueT(*queues_) : nullptr); }
+}
+
+inline FleetReportT &FleetReportT::operator=(FleetReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(sender, o.sender);
+  std::swap(incarnation, o.incarnation);
+  std::swap(sequence, o.sequence);
+  std::swap(configVersion, o.configVersion);
+  std::swap(uptimeMs, o.uptimeMs);
+  std::swap(storeAgeMs, o.storeAgeMs);
+  std::swap(leaving, o.leaving);
+  std::swap(endpoints, o.endpoints);
+  std::swap(organisations, o.organisations);
+  std::swap(queues, o.queues);
+  return *this;
+}
+
+inline FleetReportT *FleetReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FleetReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void FleetReport::UnPackTo(FleetReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sender(); if (_e) _o->sender = std::unique_ptr<pistachiofall::wire::FleetMemberT>(_e->UnPack(_resolver)); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = configVersion(); _o->configVersion = _e; }
+  { auto _e = uptimeMs(); _o->uptimeMs = _e; }
+  { auto _e = storeAgeMs(); _o->storeAgeMs = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<pistachiofall::wire::EndpointUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = organisations(); if (_e) { _o->organisations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->organisations[_i] = std::unique_ptr<pistachiofall::wire::OrganisationUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = queues(); if (_e) { _o->queues.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->queues[_i] = std::unique_ptr<pistachiofall::wire::ServiceQueueT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFleetReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FleetReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sender = _o->sender ? CreateFleetMember(_fbb, _o->sender.get(), _rehasher) : 0;
+  auto _incarnation = _o->incarnation;
+  auto _sequence = _o->sequence;
+  auto _configVersion = _o->configVersion;
+  auto _uptimeMs = _o->uptimeMs;
+  auto _storeAgeMs = _o->storeAgeMs;
+  auto _leaving = _o->leaving;
+  auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointUse(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _organisations = _o->organisations.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>> (_o->organisations.size(), [](size_t i, _VectorArgs *__va) { return CreateOrganisationUse(*__va->__fbb, __va->__o->organisations[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _queues = _o->queues.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> (_o->queues.size(), [](size_t i, _VectorArgs *__va) { return CreateServiceQueue(*__va->__fbb, __va->__o->queues[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return pistachiofall::wire::CreateFleetReport(
+      _fbb,
+      _sender,
+      _incarnation,
+      _sequence,
+      _configVersion,
+      _uptimeMs,
+      _storeAgeMs,
+      _leaving,
+      _endpoints,
+      _organisations,
+      _queues);
+}
+
+inline FleetReportReplyT::FleetReportReplyT(const FleetReportReplyT &o)
+      : configVersion(o.configVersion) {
+  members.reserve(o.members.size());
+  for (const auto &members_ : o.members) { members.emplace_back((members_) ? new pistachiofall::wire::FleetMemberT(*members_) : nullptr); }
+}
+
+inline FleetReportReplyT &FleetReportReplyT::operator=(FleetReportReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(configVersion, o.configVersion);
+  std::swap(members, o.members);
+  return *this;
+}
+
+inline FleetReportReplyT *FleetReportReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FleetReportReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void FleetReportReply::UnPackTo(FleetReportReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = configVersion(); _o->configVersion = _e; }
+  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<pistachiofall::wire::FleetMemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<FleetReportReply> FleetReportReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFleetReportReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<FleetReportReply> CreateFleetReportReply(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FleetReportReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _configVersion = _o->configVersion;
+  auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::FleetMember>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateFleetMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return pistachiofall::wire::CreateFleetReportReply(
+      _fbb,
+      _configVersion,
+      _members);
+}
+
+inline ConfigFetchT *ConfigFetch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ConfigFetchT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ConfigFetch::UnPackTo(ConfigFetchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = knownVersion(); _o->knownVersion = _e; }
+}
+
+inline flatbuffers::Offset<ConfigFetch> ConfigFetch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigFetchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfigFetch(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ConfigFetch> CreateConfigFetch(flatbuffers::FlatBufferBuilder &_fbb, const ConfigFetchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigFetchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _knownVersion = _o->knownVersion;
+  return pistachiofall::wire::CreateConfigFetch(
+      _fbb,
+      _knownVersion);
+}
+
+inline ConfigDataT *ConfigData::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ConfigDataT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ConfigData::UnPackTo(ConfigDataT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = payload(); if (_e) { _o->payload.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->payload.begin()); } }
+}
+
+inline flatbuffers::Offset<ConfigData> ConfigData::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigDataT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfigData(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ConfigData> CreateConfigData(flatbuffers::FlatBufferBuilder &_fbb, const ConfigDataT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigDataT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _payload = _o->payload.size() ? _fbb.CreateVector(_o->payload) : 0;
+  return pistachiofall::wire::CreateConfigData(
+      _fbb,
+      _version,
+      _payload);
+}
+
+inline JobEndedT *JobEnded::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobEndedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobEnded::UnPackTo(JobEndedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = jobId(); if (_e) _o->jobId = _e->str(); }
+}
+
+inline flatbuffers::Offset<JobEnded> JobEnded::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobEndedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobEnded(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobEnded> CreateJobEnded(flatbuffers::FlatBufferBuilder &_fbb, const JobEndedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobEndedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _jobId = _o->jobId.empty() ? 0 : _fbb.CreateString(_o->jobId);
+  return pistachiofall::wire::CreateJobEnded(
+      _fbb,
+      _jobId);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -4521,6 +5874,26 @@
       auto ptr = reinterpret_cast<const pistachiofall::wire::RolloutReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::FleetReport: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::FleetReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::FleetReportReply: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::FleetReportReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ConfigFetch: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::ConfigFetch *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ConfigData: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::ConfigData *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::JobEnded: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::JobEnded *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4636,6 +6009,26 @@
       auto ptr = reinterpret_cast<const pistachiofall::wire::RolloutReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::FleetReport: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::FleetReport *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::FleetReportReply: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::FleetReportReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::ConfigFetch: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::ConfigFetch *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::ConfigData: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::ConfigData *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::JobEnded: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::JobEnded *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4739,6 +6132,26 @@
       auto ptr = reinterpret_cast<const pistachiofall::wire::RolloutReplyT *>(value);
       return CreateRolloutReply(_fbb, ptr, _rehasher).Union();
     }
+    case Body::FleetReport: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::FleetReportT *>(value);
+      return CreateFleetReport(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::FleetReportReply: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::FleetReportReplyT *>(value);
+      return CreateFleetReportReply(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::ConfigFetch: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::ConfigFetchT *>(value);
+      return CreateConfigFetch(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::ConfigData: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::ConfigDataT *>(value);
+      return CreateConfigData(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::JobEnded: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::JobEndedT *>(value);
+      return CreateJobEnded(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4841,6 +6254,26 @@
       value = new pistachiofall::wire::RolloutReplyT(*reinterpret_cast<pistachiofall::wire::RolloutReplyT *>(u.value));
       break;
     }
+    case Body::FleetReport: {
+      value = new pistachiofall::wire::FleetReportT(*reinterpret_cast<pistachiofall::wire::FleetReportT *>(u.value));
+      break;
+    }
+    case Body::FleetReportReply: {
+      value = new pistachiofall::wire::FleetReportReplyT(*reinterpret_cast<pistachiofall::wire::FleetReportReplyT *>(u.value));
+      break;
+    }
+    case Body::ConfigFetch: {
+      value = new pistachiofall::wire::ConfigFetchT(*reinterpret_cast<pistachiofall::wire::ConfigFetchT *>(u.value));
+      break;
+    }
+    case Body::ConfigData: {
+      value = new pistachiofall::wire::ConfigDataT(*reinterpret_cast<pistachiofall::wire::ConfigDataT *>(u.value));
+      break;
+    }
+    case Body::JobEnded: {
+      value = new pistachiofall::wire::JobEndedT(*reinterpret_cast<pistachiofall::wire::JobEndedT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4968,6 +6401,31 @@
       delete ptr;
       break;
     }
+    case Body::FleetReport: {
+      auto ptr = reinterpret_cast<pistachiofall::wire::FleetReportT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::FleetReportReply: {
+      auto ptr = reinterpret_cast<pistachiofall::wire::FleetReportReplyT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::ConfigFetch: {
+      auto ptr = reinterpret_cast<pistachiofall::wire::ConfigFetchT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::ConfigData: {
+      auto ptr = reinterpret_cast<pistachiofall::wire::ConfigDataT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::JobEnded: {
+      auto ptr = reinterpret_cast<pistachiofall::wire::JobEndedT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/src/node/sleep.cpp
+++ b/src/wire/sleep.cpp
@@ -1,4 +1,4 @@
-#include "node/sleep.h"
+#include "wire/sleep.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
