--- a/src/base/decisionlog.h
+++ b/src/base/decisionlog.h
@@ -44,8 +44,8 @@
         std::uint64_t leftOut = 0;
     };
 
-    void add(std::string_view level, std::string_view event,
-             std::initializer_list<LogField> fields, int linesPerSecond);
+    void add(std::string_view level, std::string_view event, std::initializer_list<LogField> fields,
+             int linesPerSecond);
     void append(std::string_view level, std::string_view event, const std::string &fields);
 
     const Clock &m_clock;
--- a/src/fleet/admission.h
+++ b/src/fleet/admission.h
@@ -35,7 +35,8 @@
 
 /// When a refused caller should come back: after the present queue, but not so late that it gives
 /// up. The hash spreads the callers, which would otherwise come back together.
-std::chrono::milliseconds retryAfterFor(const ServiceLoad &load, std::chrono::milliseconds deadlineLeft,
+std::chrono::milliseconds retryAfterFor(const ServiceLoad &load,
+                                        std::chrono::milliseconds deadlineLeft,
                                         std::uint64_t spreadHash);
 
 } // namespace pistachiofall
--- a/src/fleet/coldgate.cpp
+++ b/src/fleet/coldgate.cpp
@@ -12,8 +12,8 @@
     const auto most = static_cast<std::size_t>(std::max(1.0, ratePerSecond / 2));
     const std::size_t chosen = std::clamp<std::size_t>(instances.size(), 1, most);
     const auto ownRank = rendezvousRank(endpoint, self);
-    const auto before = std::count_if(
-            instances.begin(), instances.end(), [&](const std::string &instance) {
+    const auto before =
+            std::count_if(instances.begin(), instances.end(), [&](const std::string &instance) {
                 return instance != self && rendezvousRank(endpoint, instance) < ownRank;
             });
     m_isChosen = static_cast<std::size_t>(before) < chosen;
--- a/src/fleet/coldgate.h
+++ b/src/fleet/coldgate.h
@@ -12,7 +12,8 @@
 /// Bounds what this instance sends to one cold endpoint, so that all instances together stay within
 /// the rate that it tolerates without a message between them. Only some instances, chosen alike
 /// everywhere, may send to it; each has an equal part of the rate and a burst of one request. With
-/// at most half as many of them as the rate, any second holds at most one and a half times the rate.
+/// at most half as many of them as the rate, any second holds at most one and a half times the
+/// rate.
 class ColdGate
 {
 public:
--- a/src/fleet/endpointboard.cpp
+++ b/src/fleet/endpointboard.cpp
@@ -39,7 +39,8 @@
         m_entries.erase(found);
         isNew = true;
     }
-    const auto place = m_entries.try_emplace(endpoint.id, Entry{endpoint, {}, {}, {}, {}, {}}).first;
+    const auto place =
+            m_entries.try_emplace(endpoint.id, Entry{endpoint, {}, {}, {}, {}, {}}).first;
     Entry &entry = place->second;
     const bool isChanged = isNew || entry.endpoint.isDraining != endpoint.isDraining
             || entry.endpoint.address != endpoint.address;
@@ -133,8 +134,8 @@
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
         return;
-    int &count = workClass == WorkClass::Online ? found->second.own.online
-                                                : found->second.own.batch;
+    int &count =
+            workClass == WorkClass::Online ? found->second.own.online : found->second.own.batch;
     // An entry that was replaced meanwhile starts from zero.
     count = std::max(0, count - 1);
 }
@@ -182,8 +183,7 @@
 {
     const FleetEndpoint &endpoint = entry.endpoint;
     if (endpoint.service != request.service || !isServing(entry)
-        || request.excluded.contains(endpoint.id)
-        || !entry.health.isUsable(now, entry.own.total()))
+        || request.excluded.contains(endpoint.id) || !entry.health.isUsable(now, entry.own.total()))
         return false;
     const double rate = coldRate(endpoint.service);
     if (!isCold(entry, now) || rate <= 0)
@@ -283,8 +283,7 @@
 {
     int slots = 0;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.endpoint.service == service && isServing(entry)
-            && entry.health.isUsable(now, 0))
+        if (entry.endpoint.service == service && isServing(entry) && entry.health.isUsable(now, 0))
             slots += entry.endpoint.slots;
     }
     return slots;
@@ -294,8 +293,7 @@
 {
     int freeSlots = 0;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.endpoint.service == service && isServing(entry)
-            && entry.health.isUsable(now, 0))
+        if (entry.endpoint.service == service && isServing(entry) && entry.health.isUsable(now, 0))
             freeSlots += std::max(0, entry.endpoint.slots - entry.total().online);
     }
     return freeSlots;
--- a/src/fleet/endpointboard.h
+++ b/src/fleet/endpointboard.h
@@ -19,9 +19,9 @@
 
 /// The endpoints of the fleet, what this instance and its peers use of them, and the choice of one
 /// for a request. No endpoint has an owner: each instance sends by itself, on its own use and the
-/// last report of each peer, so that no instance's end leaves an endpoint without service. The price
-/// is that two instances may take the same free slot within the age of a report; the endpoint then
-/// queues one request for the rest of another.
+/// last report of each peer, so that no instance's end leaves an endpoint without service. The
+/// price is that two instances may take the same free slot within the age of a report; the endpoint
+/// then queues one request for the rest of another.
 ///
 /// Not thread safe.
 class EndpointBoard
--- a/src/fleet/endpointhealth.cpp
+++ b/src/fleet/endpointhealth.cpp
@@ -19,8 +19,8 @@
     // Requests that fail together are one failure.
     if (now < m_avoidedUntil)
         return;
-    const auto doubled = FirstAvoidance * (1U << static_cast<unsigned>(
-                                                   std::min(m_failuresInRow, MostDoublings)));
+    const auto doubled = FirstAvoidance
+            * (1U << static_cast<unsigned>(std::min(m_failuresInRow, MostDoublings)));
     ++m_failuresInRow;
     m_avoidedUntil = now + std::min<std::chrono::milliseconds>(doubled, LongestAvoidance);
 }
--- a/src/fleet/endpointhealth.h
+++ b/src/fleet/endpointhealth.h
@@ -4,8 +4,8 @@
 
 namespace pistachiofall {
 
-/// What this instance has seen of an endpoint's answers. An endpoint that fails is avoided for a time
-/// that doubles with each failure in a row; after it one request at a time tries it.
+/// What this instance has seen of an endpoint's answers. An endpoint that fails is avoided for a
+/// time that doubles with each failure in a row; after it one request at a time tries it.
 class EndpointHealth
 {
 public:
--- a/src/fleet/fleetendpoint.h
+++ b/src/fleet/fleetendpoint.h
@@ -21,8 +21,8 @@
     bool isDraining = false;
     /// How much longer it stays cold, as of when the entry was read.
     std::chrono::milliseconds coldLeft{0};
-    /// When it started, in Unix milliseconds; 0 when it did not say. Another value under the same id
-    /// is another process.
+    /// When it started, in Unix milliseconds; 0 when it did not say. Another value under the same
+    /// id is another process.
     std::int64_t startedAt = 0;
 };
 
--- a/src/fleet/quotashares.h
+++ b/src/fleet/quotashares.h
@@ -10,11 +10,11 @@
 
 namespace pistachiofall {
 
-/// Keeps the requests of each organisation within its limit over all instances. Each instance counts
-/// what it sent in the sliding window and hears the counts of its peers several times a second. A
-/// peer that is not heard may send its equal part of the limit, and one that hears nobody sends no
-/// more than that, so two halves of a split fleet stay within the limit together. What is sent
-/// between two reports goes beyond it by the rate times the age of a report.
+/// Keeps the requests of each organisation within its limit over all instances. Each instance
+/// counts what it sent in the sliding window and hears the counts of its peers several times a
+/// second. A peer that is not heard may send its equal part of the limit, and one that hears nobody
+/// sends no more than that, so two halves of a split fleet stay within the limit together. What is
+/// sent between two reports goes beyond it by the rate times the age of a report.
 ///
 /// Not thread safe.
 class QuotaShares
--- a/src/fleet/servingroute.h
+++ b/src/fleet/servingroute.h
@@ -59,8 +59,7 @@
 /// Whether a request of the route may be sent to a second endpoint after the first may have run it.
 inline bool mayRepeat(const ServingRoute &route)
 {
-    return route.kind == RouteKind::Safe
-            || (route.kind == RouteKind::Stream && route.isResumable);
+    return route.kind == RouteKind::Safe || (route.kind == RouteKind::Stream && route.isResumable);
 }
 
 } // namespace pistachiofall
--- a/src/http/answerreader.cpp
+++ b/src/http/answerreader.cpp
@@ -48,8 +48,8 @@
 
 bool AnswerReader::endsByClose() const
 {
-    return m_acceptsEndByClose && m_parser->parser->is_header_done()
-            && m_parser->parser->need_eof() && m_parser->buffer.size() == 0;
+    return m_acceptsEndByClose && m_parser->parser->is_header_done() && m_parser->parser->need_eof()
+            && m_parser->buffer.size() == 0;
 }
 
 asio::awaitable<Result<Done>> AnswerReader::fillBuffer(HttpStream::TimePoint deadline)
--- a/src/http/endpointrequesthead.cpp
+++ b/src/http/endpointrequesthead.cpp
@@ -38,8 +38,8 @@
         head += request.target + " HTTP/1.1\r\n";
         appendFields(head, request.headers);
     } else {
-        head += endpointTarget(target->path, target->query) + " HTTP/1.1\r\nHost: "
-                + address.toString() + "\r\n";
+        head += endpointTarget(target->path, target->query)
+                + " HTTP/1.1\r\nHost: " + address.toString() + "\r\n";
         appendFields(head, endpointHeaders(request.headers));
     }
     if (!request.body.empty() || request.method != "GET")
--- a/src/node/coordination.cpp
+++ b/src/node/coordination.cpp
@@ -2,8 +2,8 @@
 
 #include "coord/heartbeattargets.h"
 #include "coord/ruleswatchers.h"
-#include "wire/sleep.h"
 #include "wire/body.h"
+#include "wire/sleep.h"
 
 #include <algorithm>
 #include <set>
--- a/src/node/endpointdrivers.cpp
+++ b/src/node/endpointdrivers.cpp
@@ -1,8 +1,8 @@
 #include "node/endpointdrivers.h"
 
-#include "wire/sleep.h"
 #include "rollout/rollouttimes.h"
 #include "wire/body.h"
+#include "wire/sleep.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/node/endpointownership.cpp
+++ b/src/node/endpointownership.cpp
@@ -1,7 +1,7 @@
 #include "node/endpointownership.h"
 
-#include "wire/sleep.h"
 #include "wire/body.h"
+#include "wire/sleep.h"
 
 #include <map>
 #include <set>
--- a/src/node/instance.cpp
+++ b/src/node/instance.cpp
@@ -25,12 +25,12 @@
 #include "node/processcost.h"
 #include "node/ratechanges.h"
 #include "node/rolloutcoordinator.h"
-#include "wire/sleep.h"
 #include "node/slotclient.h"
 #include "node/slotservice.h"
 #include "wire/body.h"
 #include "wire/peerclient.h"
 #include "wire/peerserver.h"
+#include "wire/sleep.h"
 
 #include <csignal>
 #include <random>
--- a/src/node/limitclient.cpp
+++ b/src/node/limitclient.cpp
@@ -3,8 +3,8 @@
 #include "base/overloaded.h"
 #include "coord/grantwindow.h"
 #include "node/ratechanges.h"
-#include "wire/sleep.h"
 #include "wire/body.h"
+#include "wire/sleep.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/node/listfollower.cpp
+++ b/src/node/listfollower.cpp
@@ -1,8 +1,8 @@
 #include "node/listfollower.h"
 
 #include "node/instancelistcodec.h"
-#include "wire/sleep.h"
 #include "wire/body.h"
+#include "wire/sleep.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/node/slotclient.cpp
+++ b/src/node/slotclient.cpp
@@ -1,7 +1,7 @@
 #include "node/slotclient.h"
 
-#include "wire/sleep.h"
 #include "wire/body.h"
+#include "wire/sleep.h"
 
 #include <algorithm>
 #include <map>
--- a/src/node/tablefollower.cpp
+++ b/src/node/tablefollower.cpp
@@ -3,8 +3,8 @@
 #include "base/log.h"
 #include "coord/shardtablecodec.h"
 #include "coord/tableplanner.h"
-#include "wire/sleep.h"
 #include "wire/body.h"
+#include "wire/sleep.h"
 
 #include <algorithm>
 #include <set>
--- a/src/serving/configholder.cpp
+++ b/src/serving/configholder.cpp
@@ -25,9 +25,8 @@
     const ServingConfig::Ptr &config = valueOf(decoded);
     if (m_config && config->version() <= m_config->version())
         return;
-    m_log.info("config_in_force", {{"version", config->version()},
-                                   {"before", version()},
-                                   {"source", source}});
+    m_log.info("config_in_force",
+               {{"version", config->version()}, {"before", version()}, {"source", source}});
     m_config = config;
     m_spec = spec;
     m_changed(m_config);
@@ -37,8 +36,7 @@
 {
     const auto spec = store::detail::parseJson(text);
     if (!isOk(spec)) {
-        m_log.warning("config_unreadable",
-                      {{"source", source}, {"reason", errorOf(spec).message}});
+        m_log.warning("config_unreadable", {{"source", source}, {"reason", errorOf(spec).message}});
         return;
     }
     offer(valueOf(spec), source);
--- a/src/serving/configholder.h
+++ b/src/serving/configholder.h
@@ -11,8 +11,8 @@
 
 namespace pistachiofall {
 
-/// The newest configuration that this process has seen, from the store or from a peer. It never goes
-/// back to an older version. It lives on one thread.
+/// The newest configuration that this process has seen, from the store or from a peer. It never
+/// goes back to an older version. It lives on one thread.
 class ConfigHolder
 {
 public:
--- a/src/serving/endpointfollower.cpp
+++ b/src/serving/endpointfollower.cpp
@@ -53,13 +53,14 @@
     m_missing.erase(object.name);
     const FleetEndpoint &entry = valueOf(endpoint);
     if (m_board.update(entry, m_clock.now()))
-        m_log.info("endpoint_seen", {{"endpoint", entry.id},
-                                     {"service", entry.service},
-                                     {"address", entry.address.toString()},
-                                     {"domain", entry.failureDomain},
-                                     {"draining", entry.isDraining ? "yes" : "no"},
-                                     {"cold_ms", std::int64_t{entry.coldLeft.count()}},
-                                     {"revision", object.revision}});
+        m_log.info("endpoint_seen",
+                   {{"endpoint", entry.id},
+                    {"service", entry.service},
+                    {"address", entry.address.toString()},
+                    {"domain", entry.failureDomain},
+                    {"draining", entry.isDraining ? "yes" : "no"},
+                    {"cold_ms", std::int64_t{entry.coldLeft.count()}},
+                    {"revision", object.revision}});
 }
 
 void EndpointFollower::remove(const std::string &id)
--- a/src/serving/endpointfollower.h
+++ b/src/serving/endpointfollower.h
@@ -13,9 +13,9 @@
 
 namespace pistachiofall {
 
-/// Keeps the board's endpoints as their entries in the store say. An entry that is missing after the
-/// store was away is kept for a time, since entries lapse with it and living endpoints come back. It
-/// lives on one thread.
+/// Keeps the board's endpoints as their entries in the store say. An entry that is missing after
+/// the store was away is kept for a time, since entries lapse with it and living endpoints come
+/// back. It lives on one thread.
 class EndpointFollower
 {
 public:
--- a/src/serving/eventsplitter.h
+++ b/src/serving/eventsplitter.h
@@ -19,8 +19,8 @@
     bool hasData = false;
 };
 
-/// Splits a stream of server-sent events into whole events, so that one that was cut is never passed
-/// on. A stream that breaks can then go on after the last id without a gap or a repetition.
+/// Splits a stream of server-sent events into whole events, so that one that was cut is never
+/// passed on. A stream that breaks can then go on after the last id without a gap or a repetition.
 class EventSplitter
 {
 public:
--- a/src/serving/fleetpeers.cpp
+++ b/src/serving/fleetpeers.cpp
@@ -125,9 +125,10 @@
     }
     const auto member = std::make_shared<Member>(peer, m_executor);
     m_members[peer.name] = member;
-    m_log.info("peer_known", {{"peer", peer.name},
-                              {"address", peer.address.toString()},
-                              {"peers", std::uint64_t{m_members.size()}}});
+    m_log.info("peer_known",
+               {{"peer", peer.name},
+                {"address", peer.address.toString()},
+                {"peers", std::uint64_t{m_members.size()}}});
     if (m_hasStarted)
         asio::co_spawn(m_executor, reportTo(member), asio::detached);
     m_callbacks.membersChanged();
@@ -264,9 +265,10 @@
     member->uptime = milliseconds{report.uptimeMs};
     member->storeAge = milliseconds{report.storeAgeMs};
     if (!member->isAlive)
-        m_log.info("peer_heard", {{"peer", member->peer.name},
-                                  {"incarnation", report.incarnation},
-                                  {"uptime_ms", std::uint64_t{report.uptimeMs}}});
+        m_log.info("peer_heard",
+                   {{"peer", member->peer.name},
+                    {"incarnation", report.incarnation},
+                    {"uptime_ms", std::uint64_t{report.uptimeMs}}});
     member->isAlive = true;
     if (report.leaving && !member->isLeaving)
         m_log.info("peer_leaving", {{"peer", member->peer.name}});
@@ -290,9 +292,10 @@
                 continue;
             member->isAlive = false;
             const auto silent = std::chrono::duration_cast<milliseconds>(now - member->heard);
-            m_log.warning("peer_lost", {{"peer", name},
-                                        {"silent_ms", std::int64_t{silent.count()}},
-                                        {"stopped", hasStopped ? "yes" : "unknown"}});
+            m_log.warning("peer_lost",
+                          {{"peer", name},
+                           {"silent_ms", std::int64_t{silent.count()}},
+                           {"stopped", hasStopped ? "yes" : "unknown"}});
             m_callbacks.lost(name, hasStopped);
         }
     }
--- a/src/serving/ingress.cpp
+++ b/src/serving/ingress.cpp
@@ -34,9 +34,10 @@
     m_parts.metrics
             .counter("requests_rejected_total", {{"reason", std::string(toString(error.code))}})
             .add();
-    m_parts.log.warning("request_rejected", {{"request", request.head.requestId},
-                                             {"reason", error.message},
-                                             {"config", m_config.version()}});
+    m_parts.log.warning("request_rejected",
+                        {{"request", request.head.requestId},
+                         {"reason", error.message},
+                         {"config", m_config.version()}});
     ErrorAnswer answer = makeErrorAnswer(error, RunState::NotRun);
     co_await exchange.respond(std::move(answer));
 }
@@ -48,8 +49,8 @@
     request.head = m_parts.protocol.decodeHead(exchange.headers());
     request.config = m_config.config();
     if (!request.config) {
-        m_parts.log.warning("request_refused", {{"request", request.head.requestId},
-                                                {"reason", "no configuration"}});
+        m_parts.log.warning("request_refused",
+                            {{"request", request.head.requestId}, {"reason", "no configuration"}});
         const Error error{ErrorCode::Unavailable, "this instance has no configuration yet"};
         co_await m_online.refuse(exchange, error, RetryAfterNoConfig);
         co_return;
@@ -60,8 +61,7 @@
         co_await reject(exchange, request, errorOf(call));
         co_return;
     }
-    const ServingOrganisation *organisation =
-            request.config->organisationOfKey(request.head.key);
+    const ServingOrganisation *organisation = request.config->organisationOfKey(request.head.key);
     const bool needsKey = request.config->hasOrganisations();
     const Error unknownKey{ErrorCode::Unauthenticated, "the key is missing or unknown"};
     if (!std::holds_alternative<ForwardCall>(valueOf(call))) {
@@ -73,8 +73,9 @@
     }
     request.route = request.config->findRoute(request.head.host, exchange.path());
     if (request.route == nullptr) {
-        Error unknown{ErrorCode::NotFound, "no route of '" + request.head.host + "' has the path '"
-                                                   + std::string(exchange.path()) + "'"};
+        Error unknown{ErrorCode::NotFound,
+                      "no route of '" + request.head.host + "' has the path '"
+                              + std::string(exchange.path()) + "'"};
         co_await reject(exchange, request, std::move(unknown));
         co_return;
     }
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -76,10 +76,11 @@
     job->due = now + head.dueAfter - std::chrono::duration_cast<std::chrono::nanoseconds>(age);
     job->confirmed = now;
     job->items = std::move(items);
-    m_parts.log.info("job_taken", {{"job", head.id},
-                                   {"items", std::uint64_t{head.itemCount}},
-                                   {"finished", std::uint64_t{head.results.size()}},
-                                   {"revision", head.revision}});
+    m_parts.log.info("job_taken",
+                     {{"job", head.id},
+                      {"items", std::uint64_t{head.itemCount}},
+                      {"finished", std::uint64_t{head.results.size()}},
+                      {"revision", head.revision}});
     m_order.emplace(job->due, head.id);
     job->head = std::move(head);
     m_jobs[job->head.id] = job;
@@ -140,10 +141,11 @@
 
 void JobRunner::finishWithoutRun(const JobPtr &job, std::size_t index, std::string_view reason)
 {
-    m_parts.log.warning("item_given_up", {{"job", job->head.id},
-                                          {"item", job->items[index].id},
-                                          {"reason", reason},
-                                          {"failures", job->progress[index].failures}});
+    m_parts.log.warning("item_given_up",
+                        {{"job", job->head.id},
+                         {"item", job->items[index].id},
+                         {"reason", reason},
+                         {"failures", job->progress[index].failures}});
     finish(job, index, {job->items[index].id, true, {}});
 }
 
@@ -182,7 +184,7 @@
     const JobItem &item = job->items[index];
     ItemProgress &progress = job->progress[index];
     const FleetEndpoint &endpoint = placement.endpoint;
-    EndpointHop hop{item.id,  job->head.host, endpoint.id, job->head.organisation,
+    EndpointHop hop{item.id,  job->head.host,      endpoint.id, job->head.organisation,
                     ItemTime, progress.lastEventId};
     auto sent = std::make_shared<EndpointRequest>();
     sent->target = item.path;
@@ -209,10 +211,11 @@
         if (!progress.isYielding && !job->isReleased) {
             m_parts.board.noteFailure(endpoint.id, m_parts.clock.now());
             progress.notBefore = m_parts.clock.now() + PauseAfterFailure;
-            m_parts.log.warning("item_interrupted", {{"job", job->head.id},
-                                                     {"item", item.id},
-                                                     {"endpoint", endpoint.id},
-                                                     {"reason", failureOf(head).error.message}});
+            m_parts.log.warning("item_interrupted",
+                                {{"job", job->head.id},
+                                 {"item", item.id},
+                                 {"endpoint", endpoint.id},
+                                 {"reason", failureOf(head).error.message}});
         }
         co_return;
     }
@@ -242,13 +245,13 @@
         if (!isReadable) {
             if (!progress.isYielding && !job->isReleased) {
                 m_parts.board.noteFailure(endpoint.id, m_parts.clock.now());
-                m_parts.log.warning(
-                        "item_interrupted",
-                        {{"job", job->head.id},
-                         {"item", item.id},
-                         {"endpoint", endpoint.id},
-                         {"reason", isOk(piece) ? std::string("events out of order")
-                                                : failureOf(piece).error.message}});
+                m_parts.log.warning("item_interrupted",
+                                    {{"job", job->head.id},
+                                     {"item", item.id},
+                                     {"endpoint", endpoint.id},
+                                     {"reason",
+                                      isOk(piece) ? std::string("events out of order")
+                                                  : failureOf(piece).error.message}});
             }
             call->cancel();
             co_return;
@@ -281,8 +284,7 @@
         return;
     ++progress.failures;
     const ServingConfig::Ptr config = m_callbacks.config();
-    const ServingRoute *route =
-            config ? config->findRoute(job->head.host, item.path) : nullptr;
+    const ServingRoute *route = config ? config->findRoute(job->head.host, item.path) : nullptr;
     if (route != nullptr && progress.failures >= route->attempts)
         finishWithoutRun(job, index, "failed_too_often");
 }
@@ -358,10 +360,9 @@
     job->confirmed = m_parts.clock.now();
     // A write without an answer may have been done.
     std::erase_if(job->unwritten, [&job](const JobResult &result) {
-        return std::any_of(job->head.results.begin(), job->head.results.end(),
-                           [&result](const JobResult &each) {
-                               return each.itemId == result.itemId;
-                           });
+        return std::any_of(
+                job->head.results.begin(), job->head.results.end(),
+                [&result](const JobResult &each) { return each.itemId == result.itemId; });
     });
     if (job->head.owner != m_owner)
         release(job, "other_owner");
@@ -375,10 +376,11 @@
     if (job->isReleased)
         return;
     job->isReleased = true;
-    m_parts.log.info("job_released", {{"job", job->head.id},
-                                      {"reason", reason},
-                                      {"finished", std::uint64_t{job->head.results.size()}},
-                                      {"revision", job->head.revision}});
+    m_parts.log.info("job_released",
+                     {{"job", job->head.id},
+                      {"reason", reason},
+                      {"finished", std::uint64_t{job->head.results.size()}},
+                      {"revision", job->head.revision}});
     for (ItemProgress &progress : job->progress) {
         if (progress.call)
             progress.call->cancel();
@@ -508,10 +510,11 @@
     const std::string before = std::exchange(taken.owner, m_owner);
     JobHead sent = taken;
     const auto revision = co_await m_store.write(std::move(sent));
-    m_parts.log.info("job_adopted", {{"job", taken.id},
-                                     {"from", before},
-                                     {"outcome", isOk(revision) ? std::string("taken")
-                                                                : errorOf(revision).message}});
+    m_parts.log.info(
+            "job_adopted",
+            {{"job", taken.id},
+             {"from", before},
+             {"outcome", isOk(revision) ? std::string("taken") : errorOf(revision).message}});
     if (!isOk(revision)) {
         noteUncertain(taken.id);
         co_return;
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -16,8 +16,8 @@
 
 namespace pistachiofall {
 
-/// Runs the items of the batch jobs that this instance owns, in slots that online requests leave. An
-/// item whose slot is needed is put aside and goes on later, elsewhere, after its last event.
+/// Runs the items of the batch jobs that this instance owns, in slots that online requests leave.
+/// An item whose slot is needed is put aside and goes on later, elsewhere, after its last event.
 /// Results are read by callers once the store has acknowledged them. It lives on one thread.
 class JobRunner
 {
--- a/src/serving/jobservice.cpp
+++ b/src/serving/jobservice.cpp
@@ -41,9 +41,8 @@
     , m_endNotice(std::move(endNotice))
 { }
 
-asio::awaitable<void> JobService::answerUnavailable(ServerExchange &exchange,
-                                                    std::string_view call, std::string id,
-                                                    Error error)
+asio::awaitable<void> JobService::answerUnavailable(ServerExchange &exchange, std::string_view call,
+                                                    std::string id, Error error)
 {
     m_parts.metrics.counter("job_calls_failed_total", {{"call", std::string(call)}}).add();
     m_parts.log.warning("job_call_failed",
@@ -79,9 +78,10 @@
     const auto deadline = std::min(request.deadline, request.arrival + SubmitTime);
     auto stored = co_await m_store.create(std::move(head), std::move(copies), deadline);
     if (isOk(stored)) {
-        m_parts.log.info("job_accepted", {{"job", id},
-                                          {"organisation", request.organisation},
-                                          {"items", std::uint64_t{valueOf(items).size()}}});
+        m_parts.log.info("job_accepted",
+                         {{"job", id},
+                          {"organisation", request.organisation},
+                          {"items", std::uint64_t{valueOf(items).size()}}});
         m_parts.metrics.counter("jobs_accepted_total").add();
         m_runner.add(valueOf(std::move(stored)), valueOf(std::move(items)));
         HttpHeaders headers = jsonHeaders();
@@ -125,9 +125,10 @@
         co_await exchange.respond(std::move(answer));
         co_return;
     }
-    m_parts.log.info("job_repeated", {{"job", request.head.requestId},
-                                      {"owner", valueOf(head).owner},
-                                      {"revision", valueOf(head).revision}});
+    m_parts.log.info("job_repeated",
+                     {{"job", request.head.requestId},
+                      {"owner", valueOf(head).owner},
+                      {"revision", valueOf(head).revision}});
     if (valueOf(head).owner == m_runner.owner() && valueOf(head).isOpen())
         m_runner.add(valueOf(std::move(head)), std::move(items));
     HttpHeaders headers = jsonHeaders();
@@ -138,10 +139,10 @@
 void JobService::remember(std::shared_ptr<const JobHead> head)
 {
     if (m_known.size() >= MaxKnownHeads) {
-        const auto oldest = std::min_element(
-                m_known.begin(), m_known.end(), [](const auto &left, const auto &right) {
-                    return left.second.read < right.second.read;
-                });
+        const auto oldest = std::min_element(m_known.begin(), m_known.end(),
+                                             [](const auto &left, const auto &right) {
+                                                 return left.second.read < right.second.read;
+                                             });
         m_known.erase(oldest);
     }
     const std::string id = head->id;
@@ -183,8 +184,8 @@
     for (;;) {
         auto head = co_await headOf(call.jobId, organisation, asOf);
         if (!isOk(head) && errorOf(head).code == ErrorCode::NotFound) {
-            m_parts.log.warning("job_unknown", {{"job", call.jobId},
-                                                {"organisation", organisation}});
+            m_parts.log.warning("job_unknown",
+                                {{"job", call.jobId}, {"organisation", organisation}});
             const Error unknown = errorOf(head);
             ErrorAnswer answer = makeErrorAnswer(unknown, RunState::NotRun);
             co_await exchange.respond(std::move(answer));
--- a/src/serving/jobstore.cpp
+++ b/src/serving/jobstore.cpp
@@ -1,7 +1,7 @@
 #include "serving/jobstore.h"
 
-#include "wire/sleep.h"
 #include "serving/jobformat.h"
+#include "wire/sleep.h"
 
 #include <utility>
 
--- a/src/serving/jobstore.h
+++ b/src/serving/jobstore.h
@@ -15,8 +15,8 @@
 
 namespace pistachiofall {
 
-/// Batch jobs in the store: one object with the items, or several if they are large, and one that is
-/// the job itself, which holds the results too. The job exists once that object does, and each
+/// Batch jobs in the store: one object with the items, or several if they are large, and one that
+/// is the job itself, which holds the results too. The job exists once that object does, and each
 /// change of it is conditional on its revision, so that two owners can not both write results.
 class JobStore
 {
--- a/src/serving/kindfollower.cpp
+++ b/src/serving/kindfollower.cpp
@@ -58,8 +58,7 @@
     m_lastAnswer = now;
     if (!wasAway)
         return;
-    m_log.info("store_regained",
-               {{"kind", m_kind}, {"outage_ms", std::int64_t{outage.count()}}});
+    m_log.info("store_regained", {{"kind", m_kind}, {"outage_ms", std::int64_t{outage.count()}}});
     if (outage >= ShortestOutage)
         m_callbacks.contactRegained(outage);
 }
@@ -70,10 +69,10 @@
         // The time without contact counts from here: until now the watch stood.
         if (m_isWatching)
             m_lastAnswer = m_clock.now();
-        m_log.warning("store_lost",
-                      {{"kind", m_kind}, {"call", call}, {"reason", error.message}});
+        m_log.warning("store_lost", {{"kind", m_kind}, {"call", call}, {"reason", error.message}});
     }
-    const auto pause = FirstPause * (1U << static_cast<unsigned>(std::min(m_failures, MostDoublings)));
+    const auto pause =
+            FirstPause * (1U << static_cast<unsigned>(std::min(m_failures, MostDoublings)));
     ++m_failures;
     co_await sleepFor(std::min<milliseconds>(pause, LongestPause));
 }
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -101,8 +101,7 @@
 
 bool OnlineService::mayTryAgain(const Run &run) const
 {
-    if (run.isFinished || run.caller.isGone() || run.refusal
-        || run.declined >= MostDeclinedSends)
+    if (run.isFinished || run.caller.isGone() || run.refusal || run.declined >= MostDeclinedSends)
         return false;
     if (m_parts.clock.now() >= run.request.deadline)
         return false;
@@ -160,10 +159,10 @@
     const auto now = m_parts.clock.now();
     const milliseconds left = std::max(milliseconds{1}, until(request.deadline, now));
     const FleetEndpoint &endpoint = attempt.placement.endpoint;
-    const bool mayGoElsewhere =
-            mayRepeat(*request.route) && run.runs + 1 < request.route->attempts;
-    EndpointHop hop{request.head.requestId, request.head.host, endpoint.id, request.organisation,
-                    left, run.lastEventId};
+    const bool mayGoElsewhere = mayRepeat(*request.route) && run.runs + 1 < request.route->attempts;
+    EndpointHop hop{
+            request.head.requestId, request.head.host, endpoint.id, request.organisation, left,
+            run.lastEventId};
     auto sent = std::make_shared<EndpointRequest>();
     sent->method = request.method;
     sent->target = request.target;
@@ -171,16 +170,16 @@
     sent->body = request.body;
     sent->form = RequestForm::Verbatim;
     CallOptions options;
-    options.idempotency = mayRepeat(*request.route) ? Idempotency::Idempotent
-                                                    : Idempotency::NonIdempotent;
+    options.idempotency =
+            mayRepeat(*request.route) ? Idempotency::Idempotent : Idempotency::NonIdempotent;
     options.connectTimeout = std::min(ConnectTimeout, left);
     options.acceptsEndByClose = true;
     options.writeTimeout = left;
     options.firstByteTimeout = left;
     options.gapTimeout = left;
     if (mayGoElsewhere) {
-        const milliseconds patience = std::max(ShortestFirstByteTimeout,
-                                               request.route->objective * FirstByteObjectives);
+        const milliseconds patience =
+                std::max(ShortestFirstByteTimeout, request.route->objective * FirstByteObjectives);
         options.firstByteTimeout = std::min(left, patience);
         if (request.route->gapObjective.count() > 0) {
             const auto silence = request.route->gapObjective * StreamSilence;
@@ -242,11 +241,12 @@
         m_parts.board.noteFailure(attempt.placement.endpoint.id, m_parts.clock.now());
     m_parts.metrics.counter("attempts_failed_total", {{"ran", mayHaveRun ? "unknown" : "no"}})
             .add();
-    m_parts.log.warning("attempt_failed", {{"request", run.request.head.requestId},
-                                           {"endpoint", attempt.placement.endpoint.id},
-                                           {"reason", reason},
-                                           {"may_have_run", mayHaveRun ? "yes" : "no"},
-                                           {"runs", run.runs}});
+    m_parts.log.warning("attempt_failed",
+                        {{"request", run.request.head.requestId},
+                         {"endpoint", attempt.placement.endpoint.id},
+                         {"reason", reason},
+                         {"may_have_run", mayHaveRun ? "yes" : "no"},
+                         {"runs", run.runs}});
 }
 
 asio::awaitable<bool> OnlineService::passOn(ServerExchange &exchange, Run &run, Attempt &attempt)
@@ -379,8 +379,7 @@
              {"config", run.request.config->version()},
              {"waiting", m_parts.scheduler.load(run.request.service).waiting},
              {"slots", m_parts.scheduler.load(run.request.service).slots},
-             {"age_ms",
-              std::int64_t{until(m_parts.clock.now(), run.request.arrival).count()}}});
+             {"age_ms", std::int64_t{until(m_parts.clock.now(), run.request.arrival).count()}}});
     if (run.isStreaming || run.caller.isGone()) {
         exchange.abort();
         co_return;
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -62,9 +62,8 @@
 milliseconds Scheduler::meanHold(const std::string &service) const
 {
     const auto found = m_meanHold.find(service);
-    return found == m_meanHold.end()
-            ? FirstMeanHold
-            : std::chrono::duration_cast<milliseconds>(found->second);
+    return found == m_meanHold.end() ? FirstMeanHold
+                                     : std::chrono::duration_cast<milliseconds>(found->second);
 }
 
 ServiceLoad Scheduler::load(const std::string &service) const
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -33,8 +33,8 @@
     bool isCommitted = false;
 };
 
-/// Gives slots of endpoints to the requests of this instance: online requests at once or in order of
-/// urgency, batch items from what is left. It lives on one thread, that of the executor.
+/// Gives slots of endpoints to the requests of this instance: online requests at once or in order
+/// of urgency, batch items from what is left. It lives on one thread, that of the executor.
 class Scheduler
 {
 public:
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -148,9 +148,9 @@
 
 ServingParts ServingInstance::Data::parts()
 {
-    return {clock,  *protocol, log,       metrics,
-            board,  quotas,    scheduler, client,
-            settings.failureDomain};
+    return {clock,     *protocol, log,
+            metrics,   board,     quotas,
+            scheduler, client,    settings.failureDomain};
 }
 
 Result<Done> ServingInstance::Data::open(const SpaceFactory &spaceFactory)
@@ -176,9 +176,9 @@
     runnerCallbacks.adoptsJobs = [this] { return adoptsJobs(); };
     jobs = std::make_unique<JobRunner>(context.get_executor(), parts(), *jobStore, owner,
                                        std::move(runnerCallbacks));
-    jobService = std::make_unique<JobService>(
-            parts(), *jobStore, *jobs, *online,
-            [this](const std::string &jobId) { tellEnded(jobId); });
+    jobService =
+            std::make_unique<JobService>(parts(), *jobStore, *jobs, *online,
+                                         [this](const std::string &jobId) { tellEnded(jobId); });
     ingress = std::make_unique<Ingress>(parts(), config, *online, *jobService);
 
     Scheduler::Callbacks schedulerCallbacks;
@@ -219,8 +219,8 @@
     const auto add = [this](const std::string &kind, KindFollower::Callbacks callbacks) {
         if (!callbacks.contactRegained)
             callbacks.contactRegained = [](milliseconds) {};
-        followers.push_back(std::make_unique<KindFollower>(clock, log, space, kind,
-                                                           std::move(callbacks)));
+        followers.push_back(
+                std::make_unique<KindFollower>(clock, log, space, kind, std::move(callbacks)));
     };
     KindFollower::Callbacks configCallbacks;
     configCallbacks.listed = [this, names](const std::vector<SpaceObject> &objects) {
@@ -249,8 +249,7 @@
         board.setEvacuated(evacuated, clock.now());
         scheduler.update();
     };
-    evacuationCallbacks.listed = [this,
-                                  applyEvacuations](const std::vector<SpaceObject> &objects) {
+    evacuationCallbacks.listed = [this, applyEvacuations](const std::vector<SpaceObject> &objects) {
         evacuated.clear();
         for (const SpaceObject &object : objects)
             evacuated.insert(object.name);
@@ -275,11 +274,11 @@
 Result<Done> ServingInstance::Data::listen()
 {
     const auto executor = context.get_executor();
-    auto peerResult = PeerServer::create(
-            executor, settings.peers, metrics,
-            [this](const wire::EnvelopeT &envelope, PeerRequestContext) {
-                return handlePeer(envelope);
-            });
+    auto peerResult =
+            PeerServer::create(executor, settings.peers, metrics,
+                               [this](const wire::EnvelopeT &envelope, PeerRequestContext) {
+                                   return handlePeer(envelope);
+                               });
     if (!isOk(peerResult))
         return errorOf(peerResult);
     peerServer = valueOf(std::move(peerResult));
@@ -453,9 +452,9 @@
     const auto reply = co_await peers.client().call(address, std::move(body), PeerCallTimeout);
     // The owner reads the job again before it starts another item.
     if (!isOk(reply))
-        log.warning("end_not_told", {{"job", jobId},
-                                     {"peer", address.toString()},
-                                     {"reason", errorOf(reply).message}});
+        log.warning(
+                "end_not_told",
+                {{"job", jobId}, {"peer", address.toString()}, {"reason", errorOf(reply).message}});
 }
 
 asio::awaitable<wire::BodyUnion> ServingInstance::Data::handlePeer(const wire::EnvelopeT &envelope)
@@ -493,8 +492,7 @@
         fetch.knownVersion = config.version();
         wire::BodyUnion body;
         body.Set(std::move(fetch));
-        const auto reply =
-                co_await peers.client().call(*address, std::move(body), PeerCallTimeout);
+        const auto reply = co_await peers.client().call(*address, std::move(body), PeerCallTimeout);
         const auto *data = isOk(reply) ? valueOf(reply).AsConfigData() : nullptr;
         if (data != nullptr && !data->payload.empty())
             config.offerText(std::string(data->payload.begin(), data->payload.end()), peer);
@@ -547,8 +545,8 @@
     asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     for (;;) {
         boost::system::error_code error;
-        const int number = co_await signals.async_wait(
-                asio::redirect_error(asio::use_awaitable, error));
+        const int number =
+                co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return;
         if (number == SIGHUP) {
@@ -574,8 +572,8 @@
     }
     // Addresses hold for the life of the process.
     settings.stopGrace = valueOf(loaded).stopGrace;
-    log.info("reloaded", {{"file", settingsFile},
-                          {"stop_grace_ms", std::int64_t{settings.stopGrace.count()}}});
+    log.info("reloaded",
+             {{"file", settingsFile}, {"stop_grace_ms", std::int64_t{settings.stopGrace.count()}}});
 }
 
 asio::awaitable<void> ServingInstance::Data::stopGracefully()
@@ -617,13 +615,14 @@
 void ServingInstance::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
-    m_data->log.info("started",
-                     {{"instance", m_data->settings.name},
-                      {"incarnation", m_data->peers.incarnation()},
-                      {"domain", m_data->settings.failureDomain},
-                      {"peers", m_data->settings.peers.toString()},
-                      {"callers", m_data->settings.callers ? m_data->settings.callers->toString()
-                                                           : std::string()}});
+    m_data->log.info(
+            "started",
+            {{"instance", m_data->settings.name},
+             {"incarnation", m_data->peers.incarnation()},
+             {"domain", m_data->settings.failureDomain},
+             {"peers", m_data->settings.peers.toString()},
+             {"callers",
+              m_data->settings.callers ? m_data->settings.callers->toString() : std::string()}});
     m_data->log.flush();
     m_data->start();
     m_data->context.run();
--- a/src/serving/servingprotocol.h
+++ b/src/serving/servingprotocol.h
@@ -65,7 +65,8 @@
 
     /// The fields for an endpoint: those of the caller without what concerns one connection, and
     /// those of the hop.
-    virtual HttpHeaders endpointHeaders(const HttpHeaders &caller, const EndpointHop &hop) const = 0;
+    virtual HttpHeaders endpointHeaders(const HttpHeaders &caller,
+                                        const EndpointHop &hop) const = 0;
     virtual AnswerKind classify(const AnswerHead &head, std::string_view requestId) const = 0;
     virtual EndpointHealthAnswer decodeHealth(const AnswerHead &head) const = 0;
 
--- a/src/settings/loadfleetsettings.cpp
+++ b/src/settings/loadfleetsettings.cpp
@@ -67,8 +67,8 @@
     if (!errors.isEmpty() || !peers || !storeAddress)
         return errors.joined();
     store.address = storeAddress->toString();
-    FleetSettings settings{std::move(name), std::move(failureDomain), callers, ready, metrics,
-                           *peers,          {},                       store};
+    FleetSettings settings{
+            std::move(name), std::move(failureDomain), callers, ready, metrics, *peers, {}, store};
     settings.seeds = readSeeds(document, errors);
     toml::table fleetTable;
     if (const toml::table *fleet = document["fleet"].as_table())
--- a/src/settings/loadfleetsettings.h
+++ b/src/settings/loadfleetsettings.h
@@ -8,8 +8,8 @@
 
 namespace pistachiofall {
 
-/// Reads and checks a settings file of a fleet instance. InvalidArgument lists all errors, each with
-/// its line, the bad value and what is accepted.
+/// Reads and checks a settings file of a fleet instance. InvalidArgument lists all errors, each
+/// with its line, the bad value and what is accepted.
 Result<FleetSettings> loadFleetSettings(const std::string &file);
 
 /// The same for a text; the file name stands in the errors.
