--- /dev/null
+++ b/tests/fleet/endpointboardtest.cpp
@@ -0,0 +1,132 @@
+#include "fleet/endpointboard.h"
+#include "fleet/fleetfixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pistachiofall;
+using namespace pistachiofall::tests;
+using std::chrono::milliseconds;
+
+TEST_GROUP(EndpointBoard)
+{
+    EndpointBoard board{"east-a-1"};
+    SteadyTime now{std::chrono::hours{1}};
+    PlacementRequest request{"chat", "east-a", "r1", {}};
+};
+
+// Guards against requests that queue at a full endpoint while another has free slots.
+TEST(EndpointBoard, PlacesWhereFewestRequestsRun)
+{
+    board.update(chatEndpoint("e1", 2), now);
+    board.update(chatEndpoint("e2", 2), now);
+    board.setPeerUse("east-b-1", {{"e1", {2, 0}}});
+    for (int index = 0; index < 2; ++index) {
+        const auto placement = board.placeOnline(request, now);
+        CHECK(placement.has_value());
+        CHECK_EQUAL(std::string("e2"), placement->endpoint.id);
+        board.beginRun("e2", WorkClass::Online, now);
+    }
+    CHECK_FALSE(board.placeOnline(request, now).has_value());
+}
+
+// Guards against online requests that wait behind batch items.
+TEST(EndpointBoard, LetsBatchMakeRoom)
+{
+    board.update(chatEndpoint("e1", 2), now);
+    board.beginRun("e1", WorkClass::Batch, now);
+    board.beginRun("e1", WorkClass::Batch, now);
+    const auto placement = board.placeOnline(request, now);
+    CHECK(placement.has_value());
+    CHECK(placement->displacesBatch);
+    board.beginRun("e1", WorkClass::Online, now);
+    CHECK_EQUAL(1, board.batchToYield("e1"));
+}
+
+// Guards against two instances that both put an item aside for one online request.
+TEST(EndpointBoard, OneOfSeveralOwnersYields)
+{
+    board.update(chatEndpoint("e1", 4), now);
+    board.beginRun("e1", WorkClass::Batch, now);
+    board.setPeerUse("east-b-1", {{"e1", {2, 2}}});
+    CHECK_EQUAL(0, board.batchToYield("e1"));
+    EndpointBoard other("east-b-1");
+    other.update(chatEndpoint("e1", 4), now);
+    other.beginRun("e1", WorkClass::Batch, now);
+    other.beginRun("e1", WorkClass::Batch, now);
+    other.setPeerUse("east-a-1", {{"e1", {2, 1}}});
+    CHECK_EQUAL(1, other.batchToYield("e1"));
+}
+
+// Guards against batch items that take the slot that the next online request needs.
+TEST(EndpointBoard, BatchLeavesAReserve)
+{
+    board.update(chatEndpoint("e1", 2), now);
+    CHECK(board.placeBatch(request, 1, now).has_value());
+    board.beginRun("e1", WorkClass::Batch, now);
+    CHECK_FALSE(board.placeBatch(request, 1, now).has_value());
+}
+
+// Guards against a batch that never runs where each endpoint has one slot.
+TEST(EndpointBoard, BatchUsesTheOnlySlot)
+{
+    board.update(chatEndpoint("e1", 1), now);
+    CHECK(board.placeBatch(request, 1, now).has_value());
+}
+
+// Guards against requests to endpoints that leave, that are evacuated or that are gone.
+TEST(EndpointBoard, PassesOverWhatTakesNothing)
+{
+    FleetEndpoint draining = chatEndpoint("e1", 2);
+    draining.isDraining = true;
+    board.update(draining, now);
+    board.update(chatEndpoint("e2", 2, "east-b"), now);
+    board.setEvacuated({"east-b"}, now);
+    board.update(chatEndpoint("e3", 2), now);
+    board.remove("e3");
+    CHECK_FALSE(board.placeOnline(request, now).has_value());
+    CHECK_EQUAL(0, board.endpointCount("chat"));
+}
+
+// Guards against a flood to endpoints that come back cold from an evacuation.
+TEST(EndpointBoard, TakesAReturningDomainAsCold)
+{
+    board.setConfig(chatConfig(4));
+    board.update(chatEndpoint("e1", 8, "east-b"), now);
+    board.setEvacuated({"east-b"}, now);
+    board.setEvacuated({}, now);
+    int sent = 0;
+    for (int index = 0; index < 8; ++index) {
+        if (board.placeOnline(request, now)) {
+            board.beginRun("e1", WorkClass::Online, now);
+            ++sent;
+        }
+    }
+    CHECK_EQUAL(1, sent);
+}
+
+// Guards against what was seen of an ended process being held against the next one.
+TEST(EndpointBoard, ANewProcessUnderAnIdStartsAnew)
+{
+    FleetEndpoint endpoint = chatEndpoint("e1", 2);
+    endpoint.startedAt = 1;
+    board.update(endpoint, now);
+    board.noteFailure("e1", now);
+    CHECK_FALSE(board.placeOnline(request, now).has_value());
+    endpoint.startedAt = 2;
+    CHECK(board.update(endpoint, now));
+    CHECK(board.placeOnline(request, now).has_value());
+}
+
+// Guards against all requests failing again at an endpoint that is down.
+TEST(EndpointBoard, AvoidsAnEndpointThatFails)
+{
+    board.update(chatEndpoint("e1", 2), now);
+    board.noteFailure("e1", now);
+    CHECK_FALSE(board.placeOnline(request, now).has_value());
+    now += milliseconds{200};
+    CHECK(board.placeOnline(request, now).has_value());
+    board.beginRun("e1", WorkClass::Online, now);
+    CHECK_FALSE(board.placeOnline(request, now).has_value());
+    board.noteSuccess("e1");
+    CHECK(board.placeOnline(request, now).has_value());
+}
--- /dev/null
+++ b/tests/platform/platformprotocoltest.cpp
@@ -0,0 +1,127 @@
+#include "platform/platformprotocol.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/json/parse.hpp>
+
+using namespace pistachiofall;
+using pistachiofall::platform::PlatformProtocol;
+
+TEST_GROUP(PlatformProtocol)
+{
+    PlatformProtocol protocol;
+    EndpointHop hop{"r1", "desk.example", "i-1", "acme", std::chrono::milliseconds{900}, {}};
+
+    SpaceObject entry(const char *spec)
+    {
+        SpaceObject object;
+        object.name = "i-1";
+        object.spec = boost::json::parse(spec);
+        return object;
+    }
+};
+
+// Guards against keys and claims of callers that reach an endpoint.
+TEST(PlatformProtocol, ReplacesWhatTheSystemSays)
+{
+    const HttpHeaders caller{{"Host", "desk.example"},
+                             {"Authorization", "Bearer secret"},
+                             {"Tenant", "other"},
+                             {"Expect-Instance", "i-9"},
+                             {"Connection", "close, X-Hop"},
+                             {"X-Hop", "1"},
+                             {"Model", "m"},
+                             {"Transfer-Encoding", "chunked"}};
+    const HttpHeaders sent = protocol.endpointHeaders(caller, hop);
+    CHECK(sent.get("Tenant") == "acme");
+    CHECK(sent.get("Expect-Instance") == "i-1");
+    CHECK(sent.get("Deadline-Ms") == "900");
+    CHECK(sent.get("Model") == "m");
+    CHECK_FALSE(sent.contains("Authorization"));
+    CHECK_FALSE(sent.contains("X-Hop"));
+    CHECK_FALSE(sent.contains("Connection"));
+    CHECK_FALSE(sent.contains("Transfer-Encoding"));
+}
+
+// Guards against a caller on a public route that names an organisation.
+TEST(PlatformProtocol, PublicRequestsNameNoOrganisation)
+{
+    hop.organisation.clear();
+    CHECK_FALSE(protocol.endpointHeaders({{"Tenant", "acme"}}, hop).contains("Tenant"));
+}
+
+// Guards against an answer to another request, or without a seal, that counts as a success.
+TEST(PlatformProtocol, TellsAnswersApart)
+{
+    const HttpHeaders sealed{{"Request-Id", "r1"}, {"Reply-Seal", "s"}};
+    CHECK(protocol.classify({200, sealed}, "r1") == AnswerKind::Success);
+    CHECK(protocol.classify({200, sealed}, "r2") == AnswerKind::Foreign);
+    CHECK(protocol.classify({200, {{"Request-Id", "r1"}}}, "r1") == AnswerKind::Foreign);
+    CHECK(protocol.classify({500, {{"Request-Id", "r1"}}}, "r1") == AnswerKind::Failure);
+    CHECK(protocol.classify({503, {{"Not-Run", "1"}}}, "r1") == AnswerKind::NotRun);
+    CHECK(protocol.classify({503, {{"Request-Id", "r1"}}}, "r1") == AnswerKind::Failure);
+    CHECK(protocol.classify({421, {{"Instance", "i-2"}}}, "r1") == AnswerKind::WrongEndpoint);
+}
+
+// Guards against calls for batch jobs that are taken for requests.
+TEST(PlatformProtocol, ReadsJobCalls)
+{
+    const auto results =
+            protocol.decodeCall("GET", "/api/lots/j1", "after=12", {{"Wait-Ms", "1000"}});
+    const auto &read = std::get<ResultsCall>(valueOf(results));
+    CHECK_EQUAL(std::string("j1"), read.jobId);
+    LONGS_EQUAL(12, read.position);
+    CHECK(read.wait == std::chrono::milliseconds{1000});
+    CHECK_FALSE(isOk(protocol.decodeCall("GET", "/api/lots/j1", "after=x", {})));
+    const auto body = protocol.decodeCall("GET", "/api/items/j1", "id=a", {});
+    CHECK_EQUAL(std::string("a"), std::get<ItemBodyCall>(valueOf(body)).itemId);
+    const auto end = protocol.decodeCall("DELETE", "/api/lots/j1", "", {});
+    CHECK_EQUAL(std::string("j1"), std::get<EndJobCall>(valueOf(end)).jobId);
+    const auto other = protocol.decodeCall("POST", "/x/y", "", {});
+    CHECK(std::holds_alternative<ForwardCall>(valueOf(other)));
+}
+
+// Guards against an entry of another writer that becomes an endpoint.
+TEST(PlatformProtocol, RefusesEntriesThatCanNotBeRead)
+{
+    const char *good = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,
+                           "state":"ready","cold_left_ms":250,"born":17})";
+    const auto endpoint = protocol.decodeEndpoint(entry(good));
+    CHECK(isOk(endpoint));
+    LONGS_EQUAL(8, valueOf(endpoint).slots);
+    CHECK(valueOf(endpoint).coldLeft == std::chrono::milliseconds{250});
+    LONGS_EQUAL(17, valueOf(endpoint).startedAt);
+    for (const char *bad :
+         {R"({"service":"s","address":"nowhere","zone":"z","slots":8,"state":"ready"})",
+          R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"8","state":"ready"})",
+          R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"asleep"})",
+          R"({"service":7,"address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready"})", R"([])"})
+        CHECK_FALSE(isOk(protocol.decodeEndpoint(entry(bad))));
+}
+
+// Guards against a configuration whose fields end up in others.
+TEST(PlatformProtocol, ReadsTheConfiguration)
+{
+    const auto spec = boost::json::parse(
+            R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"stream",
+                "timeout_ms":5000,"slo_ms":300,"priority":2,"service":"s","attempts":2,
+                "resumable":true,"gap_aim_ms":400},
+               {"name":"b","host":"h","path_prefix":"/b/","kind":"batch","service":"s",
+                "due_ms":18000,"retention_s":60.0,"attempts":3}],
+               "services":[{"name":"s","health_path":"/health","max_conns":360,"cold_s":3.0,
+                            "cold_per_s":12.0,"engine":{}}],
+               "tenants":[{"name":"t","api_keys":["k"],"priority":1,"rate_per_s":45,"burst":9}]})");
+    const auto config = protocol.decodeConfig(spec);
+    CHECK(isOk(config));
+    const ServingRoute *route = valueOf(config)->findRoute("h", "/p/x");
+    CHECK(route->kind == RouteKind::Stream);
+    CHECK(route->objective == std::chrono::milliseconds{300});
+    CHECK(route->isResumable);
+    LONGS_EQUAL(2, route->attempts);
+    const ServingRoute *batch = valueOf(config)->findRoute("h", "/b/x");
+    CHECK(batch->retention == std::chrono::seconds{60});
+    CHECK(batch->dueAfter == std::chrono::seconds{18});
+    CHECK(valueOf(config)->service("s")->coldRate == 12);
+    CHECK(valueOf(config)->service("s")->isEngine);
+    CHECK(valueOf(config)->organisationOfKey("k")->ratePerSecond == 45);
+}
--- /dev/null
+++ b/tests/serving/jobformattest.cpp
@@ -0,0 +1,79 @@
+#include "serving/jobformat.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pistachiofall;
+
+TEST_GROUP(JobFormat){};
+
+namespace {
+
+JobItem item(const std::string &id, std::size_t bodySize)
+{
+    JobItem each;
+    each.id = id;
+    each.path = "/batch/1/" + id;
+    each.headers.add("Model", "m");
+    each.body = std::string(bodySize, '\0');
+    return each;
+}
+
+} // namespace
+
+// Guards against bodies and headers that come back with other bytes.
+TEST(JobFormat, ItemsComeBackAsTheyWere)
+{
+    const auto parts = encodeJobItems({item("a", 3), item("b", 0)});
+    LONGS_EQUAL(1, parts.size());
+    std::vector<JobItem> items;
+    CHECK(isOk(decodeJobItems(parts[0], items)));
+    LONGS_EQUAL(2, items.size());
+    LONGS_EQUAL(3, items[0].body.size());
+    CHECK(items[0].headers.get("Model") == "m");
+    CHECK_EQUAL(std::string("/batch/1/b"), items[1].path);
+}
+
+// Guards against objects that are larger than the store accepts.
+TEST(JobFormat, LargeItemsAreSplit)
+{
+    std::vector<JobItem> items;
+    for (int index = 0; index < 20; ++index)
+        items.push_back(item("i" + std::to_string(index), 100'000));
+    const auto parts = encodeJobItems(items);
+    LONGS_EQUAL(4, parts.size());
+    std::vector<JobItem> read;
+    for (const auto &part : parts)
+        CHECK(isOk(decodeJobItems(part, read)));
+    LONGS_EQUAL(20, read.size());
+}
+
+// Guards against results that lose their order, their state or their end.
+TEST(JobFormat, HeadComesBackAsItWas)
+{
+    JobHead head;
+    head.id = "job-1";
+    head.organisation = "acme";
+    head.host = "desk.example";
+    head.itemCount = 3;
+    head.partCount = 1;
+    head.dueAfter = std::chrono::seconds{18};
+    head.owner = "east-a-1/7";
+    head.hasEnded = true;
+    head.results = {{"b", false, "text\nmore"}, {"a", true, ""}};
+    const auto decoded = decodeJobHead(encodeJobHead(head));
+    CHECK(isOk(decoded));
+    LONGS_EQUAL(2, valueOf(decoded).results.size());
+    CHECK_EQUAL(std::string("text\nmore"), valueOf(decoded).results[0].output);
+    CHECK(valueOf(decoded).results[1].isDead);
+    CHECK(valueOf(decoded).hasEnded);
+    CHECK(valueOf(decoded).dueAfter == std::chrono::seconds{18});
+    CHECK_EQUAL(std::string("east-a-1/7"), valueOf(decoded).owner);
+}
+
+// Guards against an object of another writer that is taken for a job.
+TEST(JobFormat, RefusesOtherObjects)
+{
+    SpaceObject object;
+    object.name = "note";
+    CHECK_FALSE(isOk(decodeJobHead(object)));
+}
--- /dev/null
+++ b/tests/settings/loadfleetsettingstest.cpp
@@ -0,0 +1,52 @@
+#include "settings/loadfleetsettings.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pistachiofall;
+
+TEST_GROUP(LoadFleetSettings){};
+
+// Guards against settings that are read into another field.
+TEST(LoadFleetSettings, ReadsAll)
+{
+    const auto settings = parseFleetSettings(R"([instance]
+name = "gateway-1"
+failure_domain = "east-a"
+[listen]
+callers = "127.0.0.1:80"
+ready = "127.0.0.1:81"
+peers = "127.0.0.1:82"
+[store]
+address = "127.0.0.1:83"
+call_timeout_ms = 700
+[fleet]
+seeds = ["127.0.0.2:82"]
+quota_window_ms = 5000
+stop_grace_ms = 8000
+)",
+                                             "test");
+    CHECK(isOk(settings));
+    CHECK_EQUAL(std::string("east-a"), valueOf(settings).failureDomain);
+    LONGS_EQUAL(80, valueOf(settings).callers->port());
+    LONGS_EQUAL(1, valueOf(settings).seeds.size());
+    CHECK(valueOf(settings).store.callTimeout == std::chrono::milliseconds{700});
+    CHECK(valueOf(settings).stopGrace == std::chrono::seconds{8});
+}
+
+// Guards against an error that does not name the bad value.
+TEST(LoadFleetSettings, NamesTheBadValues)
+{
+    const auto settings = parseFleetSettings(R"([instance]
+name = "gateway-1"
+failure_domain = "east-a"
+[listen]
+peers = "here:82"
+[store]
+address = "127.0.0.1:83"
+[surprise]
+)",
+                                             "test");
+    CHECK_FALSE(isOk(settings));
+    STRCMP_CONTAINS("here:82", errorOf(settings).message.c_str());
+    STRCMP_CONTAINS("surprise", errorOf(settings).message.c_str());
+}
--- a/tests/wire/samples.h
+++ b/tests/wire/samples.h
@@ -9,6 +9,37 @@
 
 namespace pistachiofall::tests {
 
+/// The messages of a fleet without endpoint owners.
+inline void addFleetMessages(std::vector<wire::BodyUnion> &bodies)
+{
+    const auto member = [] {
+        return std::make_unique<wire::FleetMemberT>(
+                wire::FleetMemberT{{}, "east-a-1", "127.0.0.1:9000", "east-a", true});
+    };
+    wire::FleetReportT report;
+    report.sender = member();
+    report.incarnation = 7;
+    report.sequence = 8;
+    report.configVersion = 41;
+    report.uptimeMs = 1200;
+    report.storeAgeMs = 30;
+    report.leaving = true;
+    report.endpoints.push_back(
+            std::make_unique<wire::EndpointUseT>(wire::EndpointUseT{{}, "tour-1", 3, 2}));
+    report.organisations.push_back(
+            std::make_unique<wire::OrganisationUseT>(wire::OrganisationUseT{{}, "acme", 9}));
+    report.queues.push_back(
+            std::make_unique<wire::ServiceQueueT>(wire::ServiceQueueT{{}, "tour", 4}));
+    bodies.push_back(makeBody(std::move(report)));
+    wire::FleetReportReplyT reply;
+    reply.configVersion = 42;
+    reply.members.push_back(member());
+    bodies.push_back(makeBody(std::move(reply)));
+    bodies.push_back(makeBody(wire::ConfigFetchT{{}, 40}));
+    bodies.push_back(makeBody(wire::ConfigDataT{{}, 41, {1, 2, 3}}));
+    bodies.push_back(makeBody(wire::JobEndedT{{}, "0123abcd"}));
+}
+
 /// A body with all fields set for each message type.
 inline std::vector<wire::BodyUnion> sampleBodies()
 {
@@ -66,6 +97,7 @@
     bodies.emplace_back();
     bodies.back().Set(std::move(report));
     add(wire::RolloutReplyT{{}, {"tour-1"}});
+    addFleetMessages(bodies);
     return bodies;
 }
 
