Report often to near peers only, gather store changes, spread lost jobs

Change: reports go to peers of the own failure domain at up to 25 ms and to others at an interval that grows with the square of the fleet; near endpoints are preferred by two requests; a watch goes on 150 ms after a change; jobs without an owner are dealt out by rank instead of all going to one instance, 0.7 s after a start instead of 1.5 s. Ruled out: a shorter interval to all peers (the reports grow with the square).

--- a/src/fleet/endpointboard.cpp
+++ b/src/fleet/endpointboard.cpp
@@ -12,6 +12,11 @@
 
 // An endpoint that comes back from an evacuation may be cold without saying so yet.
 constexpr std::chrono::milliseconds ColdWhenUnknown{3000};
+// What is known of the use of an endpoint in another failure domain is older, and the way is
+// longer: such an endpoint is chosen when those near by have so many more requests.
+constexpr int FarLoad = 2;
+// A batch item that is far from the requests that need its slot makes room late.
+constexpr int FarBatchLoad = 4;
 
 } // namespace
 
@@ -196,9 +201,9 @@
 std::optional<Placement> EndpointBoard::placeOnline(const PlacementRequest &request,
                                                     SteadyTime now) const
 {
-    // Lower is better: a free slot first, then few requests, a warm endpoint, a near one; the hash
+    // Lower is better: a free slot first, then few requests near by, a warm endpoint; the hash
     // spreads equal choices, so that instances with the same view do not choose the same.
-    using Score = std::tuple<bool, int, bool, bool, std::uint64_t>;
+    using Score = std::tuple<bool, int, bool, std::uint64_t>;
     const Entry *best = nullptr;
     Score bestScore;
     for (const auto &[id, entry] : m_entries) {
@@ -208,10 +213,9 @@
         const bool isFull = use.total() >= entry.endpoint.slots;
         if (isFull && (use.batch == 0 || use.online >= entry.endpoint.slots))
             continue;
-        const int load = isFull ? use.online : use.total();
-        const Score score{isFull, load, isCold(entry, now),
-                          entry.endpoint.failureDomain != request.failureDomain,
-                          rendezvousRank(request.key, id)};
+        const bool isFar = entry.endpoint.failureDomain != request.failureDomain;
+        const int load = (isFull ? use.online : use.total()) + (isFar ? FarLoad : 0);
+        const Score score{isFull, load, isCold(entry, now), rendezvousRank(request.key, id)};
         if (best == nullptr || score < bestScore) {
             best = &entry;
             bestScore = score;
@@ -234,7 +238,9 @@
         const int used = entry.total().total();
         if (entry.endpoint.slots - used <= std::min(reserve, entry.endpoint.slots - 1))
             continue;
-        const Score score{used, isCold(entry, now), rendezvousRank(request.key, id)};
+        const bool isFar = entry.endpoint.failureDomain != request.failureDomain;
+        const Score score{used + (isFar ? FarBatchLoad : 0), isCold(entry, now),
+                          rendezvousRank(request.key, id)};
         if (best == nullptr || score < bestScore) {
             best = &entry;
             bestScore = score;
--- a/src/serving/fleetpeers.cpp
+++ b/src/serving/fleetpeers.cpp
@@ -18,15 +18,19 @@
 
 namespace {
 
-// Between two reports to one peer: what a small fleet spends on them stays far below a tenth of an
-// instance's processor share, and the interval grows with the number of peers.
+// Between two reports to one peer. Peers of the same failure domain share most endpoints with this
+// instance and hear it often. The interval to the others grows with the square of the fleet, so
+// that what an instance sends them a second does not grow with it.
 constexpr milliseconds LeastInterval{25};
 constexpr milliseconds IntervalPerPeer{3};
+constexpr std::int64_t PeersWithShortInterval = 16;
+constexpr milliseconds LongestInterval{1000};
 constexpr milliseconds Heartbeat{200};
 constexpr milliseconds CallTimeout{400};
 constexpr milliseconds PauseAfterFailure{200};
-// Five heartbeats.
+// Five heartbeats; in a large fleet, intervals.
 constexpr milliseconds SilenceLimit{1000};
+constexpr int SilentIntervals = 3;
 constexpr milliseconds SilencePoll{100};
 constexpr milliseconds SeedPause{300};
 // A peer that never answers while others do.
@@ -104,10 +108,17 @@
     asio::co_spawn(m_executor, watchSilence(), asio::detached);
 }
 
-milliseconds FleetPeers::leastInterval() const
+milliseconds FleetPeers::reportInterval(const Member &member) const
 {
-    const auto peers = static_cast<std::int64_t>(m_members.size());
-    return std::max<milliseconds>(LeastInterval, IntervalPerPeer * peers);
+    const auto all = static_cast<std::int64_t>(m_members.size());
+    if (member.peer.failureDomain != m_self.failureDomain) {
+        const milliseconds interval = IntervalPerPeer * all * all / PeersWithShortInterval;
+        return std::clamp<milliseconds>(interval, LeastInterval, LongestInterval);
+    }
+    const auto near = std::count_if(m_members.begin(), m_members.end(), [this](const auto &each) {
+        return each.second->peer.failureDomain == m_self.failureDomain;
+    });
+    return std::clamp<milliseconds>(IntervalPerPeer * near, LeastInterval, LongestInterval);
 }
 
 void FleetPeers::addMember(const FleetPeer &peer)
@@ -206,13 +217,13 @@
         }
         if (const auto *message = valueOf(reply).AsFleetReportReply())
             takeReply(*message, member->peer.name);
-        const auto interval = leastInterval();
+        const auto interval = reportInterval(*member);
         const auto spent = std::chrono::duration_cast<milliseconds>(m_clock.now() - begin);
         if (spent < interval)
             co_await sleepFor(interval - spent);
         if (member->sentChange != m_change || member->isRemoved)
             continue;
-        member->timer.expires_at(begin + Heartbeat);
+        member->timer.expires_at(begin + std::max<milliseconds>(Heartbeat, interval));
         member->isIdle = true;
         boost::system::error_code ignored;
         co_await member->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -288,7 +299,9 @@
                 continue;
             const auto refused = m_client.refusedAt(member->peer.address);
             const bool hasStopped = refused && *refused > member->heard;
-            if (!hasStopped && now - member->heard <= SilenceLimit)
+            const milliseconds limit =
+                    std::max(SilenceLimit, reportInterval(*member) * SilentIntervals);
+            if (!hasStopped && now - member->heard <= limit)
                 continue;
             member->isAlive = false;
             const auto silent = std::chrono::duration_cast<milliseconds>(now - member->heard);
--- a/src/serving/fleetpeers.h
+++ b/src/serving/fleetpeers.h
@@ -102,7 +102,7 @@
     wire::FleetReportT makeReport();
     void takeReply(const wire::FleetReportReplyT &reply, const std::string &peer);
     std::shared_ptr<Member> learn(const wire::FleetMemberT &member);
-    std::chrono::milliseconds leastInterval() const;
+    std::chrono::milliseconds reportInterval(const Member &member) const;
 
     boost::asio::any_io_executor m_executor;
     const Clock &m_clock;
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -29,8 +29,10 @@
 // What the endpoint may work on one item; far beyond any run.
 constexpr milliseconds ItemTime{60000};
 constexpr milliseconds PauseAfterFailure{200};
-constexpr milliseconds AdoptionInterval{5000};
-constexpr milliseconds FirstAdoption{1500};
+// Losses are looked after at once; this finds what they missed.
+constexpr milliseconds AdoptionInterval{8000};
+// The peers are heard by then.
+constexpr milliseconds FirstAdoption{700};
 constexpr milliseconds AdoptionAfterLoss{300};
 constexpr milliseconds AdoptionPoll{200};
 constexpr unsigned CanNotBeDone = 422;
@@ -420,9 +422,9 @@
         release(job, "ended");
 }
 
-void JobRunner::noteUncertain(const std::string &id)
+void JobRunner::lookUp(const std::string &id)
 {
-    m_uncertain.insert(id);
+    m_lookUps.insert(id);
 }
 
 // An own job that does not run here is one whose write was taken for lost.
@@ -433,17 +435,17 @@
     return head.owner == m_owner || !m_callbacks.isOwnerAlive(head.owner);
 }
 
-asio::awaitable<void> JobRunner::resolveUncertain()
+asio::awaitable<void> JobRunner::lookUpAll()
 {
-    const std::set<std::string> ids = m_uncertain;
+    const std::set<std::string> ids = m_lookUps;
     for (const std::string &each : ids) {
         std::string id = each;
         auto head = co_await m_store.read(std::move(id));
         const bool isUnknown = !isOk(head) && errorOf(head).code != ErrorCode::NotFound;
         if (isUnknown)
             continue;
-        m_uncertain.erase(each);
-        if (isOk(head) && valueOf(head).owner == m_owner && valueOf(head).isOpen())
+        m_lookUps.erase(each);
+        if (isOk(head) && valueOf(head).isOpen() && isOrphan(valueOf(head)))
             co_await adopt(valueOf(std::move(head)));
     }
 }
@@ -470,11 +472,11 @@
 {
     while (!m_isStopping) {
         co_await sleepFor(AdoptionPoll);
-        co_await resolveUncertain();
-        if (m_parts.clock.now() < m_nextAdoption)
-            continue;
-        m_nextAdoption = m_parts.clock.now() + AdoptionInterval;
-        if (m_callbacks.adoptsJobs())
+        co_await lookUpAll();
+        const bool isDue = m_parts.clock.now() >= m_nextAdoption;
+        if (isDue)
+            m_nextAdoption = m_parts.clock.now() + AdoptionInterval;
+        if (isDue && m_callbacks.looksForOrphans())
             co_await adoptOrphans();
     }
 }
@@ -488,18 +490,14 @@
         co_return;
     }
     for (JobHead &head : valueOf(open)) {
-        if (isOrphan(head))
-            co_await adopt(std::move(head));
+        if (isOrphan(head) && !m_callbacks.handOver(head.id))
+            lookUp(head.id);
     }
 }
 
 asio::awaitable<void> JobRunner::adopt(JobHead head)
 {
-    std::string id = head.id;
-    auto newest = co_await m_store.read(std::move(id));
-    if (!isOk(newest) || !valueOf(newest).isOpen() || !isOrphan(valueOf(newest)))
-        co_return;
-    JobHead taken = valueOf(std::move(newest));
+    JobHead taken = std::move(head);
     JobHead source = taken;
     auto items = co_await m_store.readItems(std::move(source));
     if (!isOk(items)) {
@@ -516,7 +514,7 @@
              {"from", before},
              {"outcome", isOk(revision) ? std::string("taken") : errorOf(revision).message}});
     if (!isOk(revision)) {
-        noteUncertain(taken.id);
+        lookUp(taken.id);
         co_return;
     }
     taken.revision = valueOf(revision);
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -28,8 +28,11 @@
         std::function<ServingConfig::Ptr()> config;
         /// Whether an owner's process runs and reaches the store, as far as this instance knows.
         std::function<bool(const std::string &owner)> isOwnerAlive;
-        /// Whether this instance adopts the jobs of owners that have gone.
-        std::function<bool()> adoptsJobs;
+        /// Whether this instance looks for the jobs of owners that have gone.
+        std::function<bool()> looksForOrphans;
+        /// Gives a job without an owner to the instance that is to adopt it; false when that is
+        /// this one.
+        std::function<bool(const std::string &jobId)> handOver;
     };
 
     /// The owner names the instance and the start of its process.
@@ -42,8 +45,9 @@
     /// Takes a job that this instance has just stored, or has taken over.
     void add(JobHead head, std::vector<JobItem> items);
 
-    /// Whether a write of the job went through is not known; it is looked up until it is.
-    void noteUncertain(const std::string &id);
+    /// The job may be this instance's, after a write without an answer, or has no owner: it is
+    /// looked up until the store answers, and adopted.
+    void lookUp(const std::string &id);
 
     /// Starts items in free slots.
     void pump();
@@ -78,7 +82,7 @@
     void release(const JobPtr &job, std::string_view reason);
     boost::asio::awaitable<void> adoptRepeatedly();
     boost::asio::awaitable<void> adoptOrphans();
-    boost::asio::awaitable<void> resolveUncertain();
+    boost::asio::awaitable<void> lookUpAll();
     bool isOrphan(const JobHead &head) const;
     boost::asio::awaitable<void> adopt(JobHead head);
 
@@ -89,7 +93,7 @@
     Callbacks m_callbacks;
     std::map<std::string, JobPtr> m_jobs;
     std::set<JobOrder> m_order;
-    std::set<std::string> m_uncertain;
+    std::set<std::string> m_lookUps;
     SteadyTime m_nextAdoption{};
     bool m_isStopping = false;
     bool m_isPumping = false;
--- a/src/serving/jobservice.cpp
+++ b/src/serving/jobservice.cpp
@@ -98,7 +98,7 @@
         co_await answerUnavailable(exchange, "submit", id, error);
         co_return;
     }
-    m_runner.noteUncertain(id);
+    m_runner.lookUp(id);
     m_parts.log.warning("job_uncertain", {{"job", id}, {"reason", error.message}});
     const Error uncertain{ErrorCode::TimedOut, "the job may have been stored; send it again"};
     ErrorAnswer answer = makeErrorAnswer(uncertain, RunState::Unknown);
--- a/src/serving/kindfollower.cpp
+++ b/src/serving/kindfollower.cpp
@@ -13,7 +13,10 @@
 namespace {
 
 // A watch costs one call however long it waits; a broken connection shows by its keep-alive probes.
-constexpr milliseconds WatchTime{20000};
+constexpr milliseconds WatchTime{30000};
+// Endpoints and instances that start together are many changes within a second; each answer to a
+// watch is a call of each instance.
+constexpr milliseconds GatherTime{150};
 constexpr milliseconds FirstPause{50};
 constexpr milliseconds LongestPause{400};
 constexpr int MostDoublings = 3;
@@ -128,6 +131,8 @@
     for (const SpaceEvent &event : valueOf(changes).events)
         m_callbacks.changed(event);
     m_revision = std::max(m_revision, valueOf(changes).revision);
+    if (!valueOf(changes).events.empty())
+        co_await sleepFor(GatherTime);
     m_isWatching = false;
 }
 
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -1,6 +1,7 @@
 #include "serving/servinginstance.h"
 
 #include "base/decisionlog.h"
+#include "base/stablehash.h"
 #include "base/systemclock.h"
 #include "http/endpointclient.h"
 #include "http/httplistener.h"
@@ -85,7 +86,8 @@
     void fillReport(wire::FleetReportT &report);
     void tellEnded(const std::string &jobId);
     bool isOwnerAlive(const std::string &owner) const;
-    bool adoptsJobs() const;
+    std::vector<std::string> adopters() const;
+    bool handOver(const std::string &jobId);
     bool isReady() const;
     milliseconds storeAge() const;
 
@@ -93,7 +95,7 @@
     asio::awaitable<void> handleReady(ServerExchange &exchange);
     asio::awaitable<void> handleMetrics(ServerExchange &exchange);
     asio::awaitable<void> fetchConfig(std::string peer, std::uint64_t version);
-    asio::awaitable<void> tellEndedTo(SocketAddress address, std::string jobId);
+    asio::awaitable<void> tell(SocketAddress address, wire::BodyUnion body, std::string jobId);
     asio::awaitable<void> tick();
     asio::awaitable<void> waitForSignals();
     asio::awaitable<void> stopGracefully();
@@ -173,7 +175,8 @@
     JobRunner::Callbacks runnerCallbacks;
     runnerCallbacks.config = [this] { return config.config(); };
     runnerCallbacks.isOwnerAlive = [this](const std::string &name) { return isOwnerAlive(name); };
-    runnerCallbacks.adoptsJobs = [this] { return adoptsJobs(); };
+    runnerCallbacks.looksForOrphans = [this] { return adopters().front() == settings.name; };
+    runnerCallbacks.handOver = [this](const std::string &jobId) { return handOver(jobId); };
     jobs = std::make_unique<JobRunner>(context.get_executor(), parts(), *jobStore, owner,
                                        std::move(runnerCallbacks));
     jobService =
@@ -414,20 +417,44 @@
     return name == settings.name || peers.storeAgeOf(name) < OwnerStoreLimit;
 }
 
-// The first of the living instances that take callers and reach the store.
-bool ServingInstance::Data::adoptsJobs() const
+// The living instances that take callers and reach the store, in order; this one if there is none.
+std::vector<std::string> ServingInstance::Data::adopters() const
 {
-    if (!settings.callers || isStopping || storeAge() > OwnStoreLimit)
-        return false;
     const auto callers = peers.callerInstances();
-    const auto alive = peers.aliveNames();
-    std::string first = settings.name;
-    for (const std::string &name : alive) {
+    std::vector<std::string> names;
+    for (const std::string &name : peers.aliveNames()) {
         const bool takesCallers = std::find(callers.begin(), callers.end(), name) != callers.end();
-        if (takesCallers && name < first && peers.storeAgeOf(name) < OwnStoreLimit)
-            first = name;
+        const bool isSelf = name == settings.name;
+        const auto age = isSelf ? storeAge() : peers.storeAgeOf(name);
+        if (takesCallers && age < OwnStoreLimit && !(isSelf && isStopping))
+            names.push_back(name);
     }
-    return first == settings.name;
+    std::sort(names.begin(), names.end());
+    if (names.empty())
+        names.push_back(settings.name);
+    return names;
+}
+
+// Each job goes to the adopter with the lowest rank, so that they share the jobs of a lost
+// instance.
+bool ServingInstance::Data::handOver(const std::string &jobId)
+{
+    const auto names = adopters();
+    const auto chosen =
+            std::min_element(names.begin(), names.end(),
+                             [&jobId](const std::string &left, const std::string &right) {
+                                 return rendezvousRank(jobId, left) < rendezvousRank(jobId, right);
+                             });
+    const auto address = peers.addressOf(*chosen);
+    if (!address)
+        return false;
+    log.info("job_handed_over", {{"job", jobId}, {"to", *chosen}});
+    wire::JobNoticeT notice;
+    notice.jobId = jobId;
+    wire::BodyUnion body;
+    body.Set(std::move(notice));
+    asio::co_spawn(context, tell(*address, std::move(body), jobId), asio::detached);
+    return true;
 }
 
 bool ServingInstance::Data::isReady() const
@@ -438,22 +465,25 @@
 void ServingInstance::Data::tellEnded(const std::string &jobId)
 {
     for (const std::string &name : peers.aliveNames()) {
-        if (const auto address = peers.addressOf(name))
-            asio::co_spawn(context, tellEndedTo(*address, jobId), asio::detached);
+        const auto address = peers.addressOf(name);
+        if (!address)
+            continue;
+        wire::JobEndedT ended;
+        ended.jobId = jobId;
+        wire::BodyUnion body;
+        body.Set(std::move(ended));
+        asio::co_spawn(context, tell(*address, std::move(body), jobId), asio::detached);
     }
 }
 
-asio::awaitable<void> ServingInstance::Data::tellEndedTo(SocketAddress address, std::string jobId)
+// Tells a peer something about a job. What is lost here is found by a read of the store later.
+asio::awaitable<void> ServingInstance::Data::tell(SocketAddress address, wire::BodyUnion body,
+                                                  std::string jobId)
 {
-    wire::JobEndedT message;
-    message.jobId = jobId;
-    wire::BodyUnion body;
-    body.Set(std::move(message));
     const auto reply = co_await peers.client().call(address, std::move(body), PeerCallTimeout);
-    // The owner reads the job again before it starts another item.
     if (!isOk(reply))
         log.warning(
-                "end_not_told",
+                "peer_not_told",
                 {{"job", jobId}, {"peer", address.toString()}, {"reason", errorOf(reply).message}});
 }
 
@@ -475,6 +505,9 @@
     } else if (const auto *ended = envelope.body.AsJobEnded()) {
         jobs->jobEnded(ended->jobId);
         reply.Set(wire::PongT{});
+    } else if (const auto *notice = envelope.body.AsJobNotice()) {
+        jobs->lookUp(notice->jobId);
+        reply.Set(wire::PongT{});
     }
     co_return reply;
 }
--- a/tests/fleet/endpointboardtest.cpp
+++ b/tests/fleet/endpointboardtest.cpp
@@ -130,3 +130,18 @@
     board.noteSuccess("e1");
     CHECK(board.placeOnline(request, now).has_value());
 }
+
+// Guards against a far endpoint, whose use is known late, that is chosen before a near one with a
+// free slot, and against a near one that is filled while far ones are idle.
+TEST(EndpointBoard, PrefersNearEndpointsUnlessTheyAreBusier)
+{
+    board.update(chatEndpoint("far", 8, "east-b"), now);
+    board.update(chatEndpoint("near", 8, "east-a"), now);
+    int nearRuns = 0;
+    for (int index = 0; index < 8; ++index) {
+        const auto placement = board.placeOnline(request, now);
+        nearRuns += placement->endpoint.id == "near" ? 1 : 0;
+        board.beginRun(placement->endpoint.id, WorkClass::Online, now);
+    }
+    LONGS_EQUAL(5, nearRuns);
+}
