--- a/src/fleet/endpointboard.cpp
+++ b/src/fleet/endpointboard.cpp
@@ -3,6 +3,8 @@
 #include "base/stablehash.h"
 
 #include <algorithm>
+#include <cmath>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -13,11 +15,21 @@
 // An endpoint that comes back from an evacuation may be cold without saying so yet.
 constexpr std::chrono::milliseconds ColdWhenUnknown{3000};
 // What is known of the use of an endpoint in another failure domain is older, and the way is
-// longer: such an endpoint is chosen when those near by have so many more requests.
-constexpr int FarLoad = 2;
+// longer.
+constexpr double FarWeight = 0.25;
+constexpr double ColdWeight = 0.1;
 // A batch item that is far from the requests that need its slot makes room late.
 constexpr int FarBatchLoad = 4;
 
+// A choice by weight in which equal keys choose alike: the candidate with the lowest value wins,
+// and each wins in proportion to its weight.
+double weightedRank(std::string_view key, std::string_view candidate, double weight)
+{
+    constexpr double HashRange = 18446744073709551616.0;
+    const double point = (static_cast<double>(rendezvousRank(key, candidate)) + 1) / HashRange;
+    return -std::log(point) / weight;
+}
+
 } // namespace
 
 EndpointUse EndpointBoard::Entry::total() const
@@ -201,9 +213,10 @@
 std::optional<Placement> EndpointBoard::placeOnline(const PlacementRequest &request,
                                                     SteadyTime now) const
 {
-    // Lower is better: a free slot first, then few requests near by, a warm endpoint; the hash
-    // spreads equal choices, so that instances with the same view do not choose the same.
-    using Score = std::tuple<bool, int, bool, std::uint64_t>;
+    // A free slot first. Among the endpoints with one, each is chosen by the square of its free
+    // slots: an engine is nearly as fast with many requests as with few, and instances whose views
+    // are equally old must not all choose the emptiest one.
+    using Score = std::tuple<bool, double>;
     const Entry *best = nullptr;
     Score bestScore;
     for (const auto &[id, entry] : m_entries) {
@@ -213,9 +226,13 @@
         const bool isFull = use.total() >= entry.endpoint.slots;
         if (isFull && (use.batch == 0 || use.online >= entry.endpoint.slots))
             continue;
-        const bool isFar = entry.endpoint.failureDomain != request.failureDomain;
-        const int load = (isFull ? use.online : use.total()) + (isFar ? FarLoad : 0);
-        const Score score{isFull, load, isCold(entry, now), rendezvousRank(request.key, id)};
+        const int freeSlots = entry.endpoint.slots - (isFull ? use.online : use.total());
+        double weight = static_cast<double>(freeSlots) * freeSlots;
+        if (entry.endpoint.failureDomain != request.failureDomain)
+            weight *= FarWeight;
+        if (isCold(entry, now))
+            weight *= ColdWeight;
+        const Score score{isFull, weightedRank(request.key, id, weight)};
         if (best == nullptr || score < bestScore) {
             best = &entry;
             bestScore = score;
--- a/src/http/calloptions.h
+++ b/src/http/calloptions.h
@@ -25,11 +25,11 @@
     /// From the end of the request to the first byte of the answer's body. It covers the header
     /// too: engines send that at once and the first token later.
     std::chrono::milliseconds firstByteTimeout{30000};
+    /// Between two pieces of the body.
+    std::chrono::milliseconds gapTimeout{10000};
     /// Whether the orderly end of the connection may be the end of an answer that has neither a
     /// length nor chunks.
     bool acceptsEndByClose = false;
-    /// Between two pieces of the body.
-    std::chrono::milliseconds gapTimeout{10000};
 };
 
 } // namespace pistachiofall
--- a/src/serving/fleetpeers.cpp
+++ b/src/serving/fleetpeers.cpp
@@ -22,7 +22,7 @@
 // instance and hear it often. The interval to the others grows with the square of the fleet, so
 // that what an instance sends them a second does not grow with it.
 constexpr milliseconds LeastInterval{25};
-constexpr milliseconds IntervalPerPeer{3};
+constexpr milliseconds IntervalPerPeer{2};
 constexpr std::int64_t PeersWithShortInterval = 16;
 constexpr milliseconds LongestInterval{1000};
 constexpr milliseconds Heartbeat{200};
@@ -211,6 +211,8 @@
         body.Set(makeReport());
         const auto reply =
                 co_await m_client.call(member->peer.address, std::move(body), CallTimeout);
+        const std::string outcome = isOk(reply) ? "heard" : "lost";
+        m_metrics.counter("peer_reports_total", {{"outcome", outcome}}).add();
         if (!isOk(reply)) {
             co_await sleepFor(PauseAfterFailure);
             continue;
--- a/src/serving/jobstore.cpp
+++ b/src/serving/jobstore.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-const std::string JobKind = "pistachiofall-jobs";
-const std::string ItemsKind = "pistachiofall-items";
+constexpr const char *JobKind = "pistachiofall-jobs";
+constexpr const char *ItemsKind = "pistachiofall-items";
 constexpr milliseconds RetryPause{50};
 
 std::string partName(const std::string &id, std::size_t part)
--- a/src/serving/kindfollower.cpp
+++ b/src/serving/kindfollower.cpp
@@ -14,9 +14,6 @@
 
 // A watch costs one call however long it waits; a broken connection shows by its keep-alive probes.
 constexpr milliseconds WatchTime{30000};
-// Endpoints and instances that start together are many changes within a second; each answer to a
-// watch is a call of each instance.
-constexpr milliseconds GatherTime{150};
 constexpr milliseconds FirstPause{50};
 constexpr milliseconds LongestPause{400};
 constexpr int MostDoublings = 3;
@@ -132,7 +129,7 @@
         m_callbacks.changed(event);
     m_revision = std::max(m_revision, valueOf(changes).revision);
     if (!valueOf(changes).events.empty())
-        co_await sleepFor(GatherTime);
+        co_await sleepFor(m_callbacks.gatherTime());
     m_isWatching = false;
 }
 
--- a/src/serving/kindfollower.h
+++ b/src/serving/kindfollower.h
@@ -25,6 +25,8 @@
         /// All objects as of now. Those that are not among them are gone.
         std::function<void(const std::vector<SpaceObject> &objects)> listed;
         std::function<void(const SpaceEvent &event)> changed;
+        /// How long changes are gathered before the next call.
+        std::function<std::chrono::milliseconds()> gatherTime;
         /// The store answered, after a time without an answer.
         std::function<void(std::chrono::milliseconds outage)> contactRegained;
     };
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -43,6 +43,10 @@
 
 constexpr milliseconds TickInterval{50};
 constexpr milliseconds PeerCallTimeout{500};
+constexpr milliseconds GatherTimePerInstance{12};
+constexpr milliseconds LeastGatherTime{150};
+// A third of the shortest time in which a configuration has to be in force.
+constexpr milliseconds LongestGatherTime{700};
 // The balancer takes an instance out after two questions a second apart.
 constexpr milliseconds BalancerNotice{2300};
 // What is left of the grace when the process ends by itself.
@@ -90,6 +94,7 @@
     bool handOver(const std::string &jobId);
     bool isReady() const;
     milliseconds storeAge() const;
+    milliseconds gatherTime() const;
 
     asio::awaitable<wire::BodyUnion> handlePeer(const wire::EnvelopeT &envelope);
     asio::awaitable<void> handleReady(ServerExchange &exchange);
@@ -221,6 +226,7 @@
                                                    [this] { scheduler.update(); });
     directory = std::make_unique<InstanceDirectory>(log, space, peers);
     const auto add = [this](const std::string &kind, KindFollower::Callbacks callbacks) {
+        callbacks.gatherTime = [this] { return gatherTime(); };
         if (!callbacks.contactRegained)
             callbacks.contactRegained = [](milliseconds) {};
         followers.push_back(
@@ -406,6 +412,15 @@
     return std::max(milliseconds{0}, duration_cast<milliseconds>(clock.now() - newest));
 }
 
+// Endpoints and instances that start together are many changes within a second, and each answer to
+// a watch is a call of each instance.
+milliseconds ServingInstance::Data::gatherTime() const
+{
+    const auto members = static_cast<std::int64_t>(peers.memberNames().size());
+    return std::clamp<milliseconds>(GatherTimePerInstance * members, LeastGatherTime,
+                                    LongestGatherTime);
+}
+
 // An owner is "name/incarnation".
 bool ServingInstance::Data::isOwnerAlive(const std::string &owner) const
 {
--- a/tests/http/endpointcalltest.cpp
+++ b/tests/http/endpointcalltest.cpp
@@ -239,3 +239,32 @@
     call.reset();
     CHECK_TRUE(waitFor([&endpoint] { return endpoint.hasLostClient(); }));
 }
+
+// Guards against a caller's header or query that is changed on the way to an endpoint that gets
+// requests as they are.
+TEST(EndpointCall, SendsVerbatimRequestsAsTheyAre)
+{
+    RawEndpoint endpoint({{{wholeAnswer}, false}});
+    auto request = std::make_shared<EndpointRequest>();
+    request->form = RequestForm::Verbatim;
+    request->target = "/run?a=1&key=x";
+    request->headers.add("Host", "desk.example");
+    request->headers.add("Model", "m");
+    request->body = "ping";
+    const auto call = client->prepare(endpoint.address(), request, options);
+    STRCMP_EQUAL("200 hello", io.run(describe(call)).value_or("hangs").c_str());
+    const std::string received = endpoint.lastRequest();
+    STRCMP_CONTAINS("POST /run?a=1&key=x HTTP/1.1\r\n", received.c_str());
+    STRCMP_CONTAINS("Host: desk.example\r\n", received.c_str());
+    STRCMP_CONTAINS("Model: m\r\n", received.c_str());
+}
+
+// Guards against an answer without a length that is refused, or one that was cut and looks whole.
+TEST(EndpointCall, TakesAnAnswerThatEndsWithItsConnection)
+{
+    options.acceptsEndByClose = true;
+    RawEndpoint endpoint({{{okHead + "\r\nhel", "lo"}, true}});
+    STRCMP_EQUAL("200 hello", call(endpoint.address()).c_str());
+    RawEndpoint cut({{{okHead + "Content-Length: 9\r\n\r\nhello"}, true}});
+    STRCMP_EQUAL("outcome_unknown stage 3 possibly sent", call(cut.address()).c_str());
+}
