Let batch items use every slot that was free for 100 ms

Change: no slot is kept, but an endpoint that was full 100 ms ago takes no item, so that online requests waiting elsewhere get the slot.

--- a/src/fleet/endpointboard.cpp
+++ b/src/fleet/endpointboard.cpp
@@ -18,6 +18,8 @@
 // longer.
 constexpr double FarWeight = 0.25;
 constexpr double ColdWeight = 0.1;
+// Two reports of a peer near by.
+constexpr std::chrono::milliseconds RestAfterFull{100};
 // A batch item that is far from the requests that need its slot makes room late.
 constexpr int FarBatchLoad = 4;
 
@@ -42,6 +44,11 @@
     return sum;
 }
 
+bool EndpointBoard::Entry::isFull() const
+{
+    return total().total() >= endpoint.slots;
+}
+
 EndpointBoard::EndpointBoard(std::string instance)
     : m_instance(std::move(instance))
     , m_instances{m_instance}
@@ -57,7 +64,7 @@
         isNew = true;
     }
     const auto place =
-            m_entries.try_emplace(endpoint.id, Entry{endpoint, {}, {}, {}, {}, {}}).first;
+            m_entries.try_emplace(endpoint.id, Entry{endpoint, {}, {}, {}, {}, {}, {}}).first;
     Entry &entry = place->second;
     const bool isChanged = isNew || entry.endpoint.isDraining != endpoint.isDraining
             || entry.endpoint.address != endpoint.address;
@@ -146,11 +153,13 @@
     entry.coldGate->take(now);
 }
 
-void EndpointBoard::endRun(const std::string &id, WorkClass workClass)
+void EndpointBoard::endRun(const std::string &id, WorkClass workClass, SteadyTime now)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
         return;
+    if (found->second.isFull())
+        found->second.lastFull = now;
     int &count =
             workClass == WorkClass::Online ? found->second.own.online : found->second.own.batch;
     // An entry that was replaced meanwhile starts from zero.
@@ -171,9 +180,12 @@
         found->second.health.noteSuccess();
 }
 
-void EndpointBoard::setPeerUse(const std::string &peer, std::map<std::string, EndpointUse> use)
+void EndpointBoard::setPeerUse(const std::string &peer, std::map<std::string, EndpointUse> use,
+                               SteadyTime now)
 {
     for (auto &[id, entry] : m_entries) {
+        if (entry.isFull())
+            entry.lastFull = now;
         const auto found = use.find(id);
         if (found == use.end())
             entry.peers.erase(peer);
@@ -252,6 +264,8 @@
     for (const auto &[id, entry] : m_entries) {
         if (!isUsable(entry, request, now))
             continue;
+        if (now - entry.lastFull < RestAfterFull)
+            continue;
         const int used = entry.total().total();
         if (entry.endpoint.slots - used <= std::min(reserve, entry.endpoint.slots - 1))
             continue;
--- a/src/fleet/endpointboard.h
+++ b/src/fleet/endpointboard.h
@@ -45,18 +45,21 @@
     void setInstances(std::vector<std::string> instances);
 
     void beginRun(const std::string &id, WorkClass workClass, SteadyTime now);
-    void endRun(const std::string &id, WorkClass workClass);
+    void endRun(const std::string &id, WorkClass workClass, SteadyTime now);
     void noteFailure(const std::string &id, SteadyTime now);
     void noteSuccess(const std::string &id);
 
     /// Replaces what a peer uses.
-    void setPeerUse(const std::string &peer, std::map<std::string, EndpointUse> use);
+    void setPeerUse(const std::string &peer, std::map<std::string, EndpointUse> use,
+                    SteadyTime now);
     void forgetPeer(const std::string &peer);
 
     /// The endpoint for an online request: one with a free slot, else one where a batch item can
     /// make room; nothing when all slots have online requests.
     std::optional<Placement> placeOnline(const PlacementRequest &request, SteadyTime now) const;
-    /// The endpoint for a batch item: one with more free slots than the reserve.
+    /// The endpoint for a batch item: one with more free slots than the reserve that was not full
+    /// a moment ago. Online requests that wait elsewhere take a slot that has just become free; an
+    /// item that takes it first would only have to make room again.
     std::optional<Placement> placeBatch(const PlacementRequest &request, int reserve,
                                         SteadyTime now) const;
 
@@ -82,8 +85,10 @@
         SteadyTime coldUntil{};
         std::optional<ColdGate> coldGate;
         std::map<std::string, EndpointUse> peers;
+        SteadyTime lastFull{};
 
         EndpointUse total() const;
+        bool isFull() const;
     };
 
     bool isServing(const Entry &entry) const;
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -16,9 +16,9 @@
 
 namespace {
 
-// Slots of each endpoint that batch items leave free, so that an online request seldom has to wait
-// until an item has made room.
-constexpr int BatchReserve = 1;
+// Slots of each endpoint that batch items leave free. An item makes room within two reports, far
+// below the objectives of interactive routes, so that none has to be kept.
+constexpr int BatchReserve = 0;
 // Until requests have been seen.
 constexpr milliseconds FirstMeanHold{500};
 constexpr double HoldWeight = 0.05;
@@ -147,7 +147,7 @@
 void Scheduler::release(const std::string &endpoint, const std::string &service,
                         WorkClass workClass, milliseconds held)
 {
-    m_board.endRun(endpoint, workClass);
+    m_board.endRun(endpoint, workClass, m_clock.now());
     if (workClass == WorkClass::Online && held.count() > 0) {
         const std::chrono::duration<double> seconds = held;
         const auto place = m_meanHold.try_emplace(service, seconds).first;
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -354,7 +354,7 @@
     std::map<std::string, EndpointUse> use;
     for (const auto &each : report.endpoints)
         use[each->endpoint] = {each->online, each->batch};
-    board.setPeerUse(peer, std::move(use));
+    board.setPeerUse(peer, std::move(use), clock.now());
     std::map<std::string, std::uint32_t> requests;
     for (const auto &each : report.organisations)
         requests[each->organisation] = each->requests;
--- a/tests/fleet/endpointboardtest.cpp
+++ b/tests/fleet/endpointboardtest.cpp
@@ -22,7 +22,7 @@
 {
     board.update(chatEndpoint("e1", 2), now);
     board.update(chatEndpoint("e2", 2), now);
-    board.setPeerUse("east-b-1", {{"e1", {2, 0}}});
+    board.setPeerUse("east-b-1", {{"e1", {2, 0}}}, now);
     for (int index = 0; index < 2; ++index) {
         const auto placement = board.placeOnline(request, now);
         CHECK(placement.has_value());
@@ -50,13 +50,13 @@
 {
     board.update(chatEndpoint("e1", 4), now);
     board.beginRun("e1", WorkClass::Batch, now);
-    board.setPeerUse("east-b-1", {{"e1", {2, 2}}});
+    board.setPeerUse("east-b-1", {{"e1", {2, 2}}}, now);
     CHECK_EQUAL(0, board.batchToYield("e1"));
     EndpointBoard other("east-b-1");
     other.update(chatEndpoint("e1", 4), now);
     other.beginRun("e1", WorkClass::Batch, now);
     other.beginRun("e1", WorkClass::Batch, now);
-    other.setPeerUse("east-a-1", {{"e1", {2, 1}}});
+    other.setPeerUse("east-a-1", {{"e1", {2, 1}}}, now);
     CHECK_EQUAL(1, other.batchToYield("e1"));
 }
 
@@ -69,6 +69,18 @@
     CHECK_FALSE(board.placeBatch(request, 1, now).has_value());
 }
 
+// Guards against a batch item that takes a slot for which online requests wait at other instances.
+TEST(EndpointBoard, BatchWaitsForASlotThatHasJustBecomeFree)
+{
+    board.update(chatEndpoint("e1", 2), now);
+    board.beginRun("e1", WorkClass::Online, now);
+    board.beginRun("e1", WorkClass::Online, now);
+    board.endRun("e1", WorkClass::Online, now);
+    CHECK(board.placeOnline(request, now).has_value());
+    CHECK_FALSE(board.placeBatch(request, 0, now).has_value());
+    CHECK(board.placeBatch(request, 0, now + milliseconds{100}).has_value());
+}
+
 // Guards against a batch that never runs where each endpoint has one slot.
 TEST(EndpointBoard, BatchUsesTheOnlySlot)
 {
@@ -171,7 +183,7 @@
         EndpointBoard each("gateway-" + std::to_string(instance));
         for (const auto &[id, use] : reported)
             each.update(chatEndpoint(id, 8), now);
-        each.setPeerUse("others", reported);
+        each.setPeerUse("others", reported, now);
         for (int index = 0; index < 2; ++index) {
             request.key = "r" + std::to_string(instance) + "-" + std::to_string(index);
             const auto placement = each.placeOnline(request, now);
