Read jobs from their owner, watch for less than the store keeps changes

Change: the owner answers for 2 s after the store last acknowledged the job, or reads it once for all; a watch waits 15 s.

--- a/src/serving/jobformat.cpp
+++ b/src/serving/jobformat.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 
 namespace pistachiofall {
 
@@ -134,6 +135,30 @@
     return head;
 }
 
+std::string encodeJobText(const JobHead &head)
+{
+    SpaceObject object = encodeJobHead(head);
+    return json::serialize(json::object{{"name", std::move(object.name)},
+                                        {"revision", static_cast<std::int64_t>(object.revision)},
+                                        {"spec", std::move(object.spec)},
+                                        {"status", std::move(object.status)}});
+}
+
+Result<JobHead> decodeJobText(std::string_view text)
+{
+    const auto value = store::detail::parseJson(text);
+    if (!isOk(value))
+        return errorOf(value);
+    SpaceObject object;
+    object.name = textField(valueOf(value), {"name"});
+    object.revision = static_cast<std::uint64_t>(integerField(valueOf(value), "revision"));
+    if (const json::value *spec = findField(valueOf(value), {"spec"}))
+        object.spec = *spec;
+    if (const json::value *status = findField(valueOf(value), {"status"}))
+        object.status = *status;
+    return decodeJobHead(object);
+}
+
 std::vector<json::value> encodeJobItems(const std::vector<JobItem> &items)
 {
     std::vector<json::value> parts;
--- a/src/serving/jobformat.h
+++ b/src/serving/jobformat.h
@@ -5,6 +5,8 @@
 #include "serving/jobitem.h"
 #include "store/objectspace.h"
 
+#include <string>
+#include <string_view>
 #include <vector>
 
 /// How batch jobs are written to the store.
@@ -15,6 +17,11 @@
 /// ProtocolError for an object of another writer.
 Result<JobHead> decodeJobHead(const SpaceObject &object);
 
+/// The same as one text, for peers.
+std::string encodeJobText(const JobHead &head);
+/// ProtocolError for a text that is no job.
+Result<JobHead> decodeJobText(std::string_view text);
+
 /// The items in as few parts as the size of an object allows.
 std::vector<boost::json::value> encodeJobItems(const std::vector<JobItem> &items);
 /// Appends the items of one part. ProtocolError for an object of another writer.
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -22,6 +22,9 @@
 // An item starts only if the store has confirmed this recently that its job is open. Callers are
 // promised that nothing of an ended job starts after 3 s.
 constexpr milliseconds ConfirmationLife{1500};
+// An owner that was replaced does not know it yet for so long; the next one needs longer than this
+// for a result of its own.
+constexpr milliseconds ReadingLife{2000};
 constexpr milliseconds ConnectTimeout{300};
 // An engine that admits in order of arrival may let an item wait behind others.
 constexpr milliseconds FirstEventTimeout{4000};
@@ -77,6 +80,7 @@
     }
     job->due = now + head.dueAfter - std::chrono::duration_cast<std::chrono::nanoseconds>(age);
     job->confirmed = now;
+    job->acknowledged = now;
     job->items = std::move(items);
     m_parts.log.info("job_taken",
                      {{"job", head.id},
@@ -167,6 +171,19 @@
                               held);
 }
 
+asio::awaitable<std::optional<JobHead>> JobRunner::readableHead(std::string id)
+{
+    const JobPtr job = find(id);
+    if (!job)
+        co_return std::nullopt;
+    if (m_parts.clock.now() - job->acknowledged > ReadingLife)
+        co_await reconcile(job);
+    const bool isCurrent = m_parts.clock.now() - job->acknowledged <= ReadingLife;
+    if (job->isReleased || !isCurrent)
+        co_return std::nullopt;
+    co_return job->head;
+}
+
 // Whether items of the job may start. Without an answer of the store they may: an instance that has
 // lost it goes on with what it knows.
 asio::awaitable<bool> JobRunner::confirm(JobPtr job)
@@ -330,6 +347,7 @@
             next.revision = valueOf(revision);
             job->head = std::move(next);
             job->confirmed = m_parts.clock.now();
+            job->acknowledged = job->confirmed;
             job->unwritten.erase(job->unwritten.begin(),
                                  job->unwritten.begin() + static_cast<std::ptrdiff_t>(count));
             job->oldestUnwritten = m_parts.clock.now();
@@ -356,10 +374,12 @@
             release(job, "not_stored");
         co_return false;
     }
+    // A write that was acknowledged meanwhile is newer.
     if (valueOf(stored).revision < job->head.revision)
         co_return true;
     job->head = valueOf(std::move(stored));
     job->confirmed = m_parts.clock.now();
+    job->acknowledged = job->confirmed;
     // A write without an answer may have been done.
     std::erase_if(job->unwritten, [&job](const JobResult &result) {
         return std::any_of(
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -60,6 +61,10 @@
     /// Starts no more items, puts those that run aside and writes their results.
     void stop();
 
+    /// The state of a job for those who read it, no older than the reading life; nothing when this
+    /// instance does not own it or the store does not answer.
+    boost::asio::awaitable<std::optional<JobHead>> readableHead(std::string id);
+
     const std::string &owner() const { return m_owner; }
     std::shared_ptr<OwnedJob> find(const std::string &id) const;
     std::size_t jobCount() const { return m_jobs.size(); }
--- a/src/serving/jobservice.cpp
+++ b/src/serving/jobservice.cpp
@@ -33,12 +33,13 @@
 } // namespace
 
 JobService::JobService(ServingParts parts, JobStore &store, JobRunner &runner,
-                       OnlineService &online, EndNotice endNotice)
+                       OnlineService &online, EndNotice endNotice, OwnerRead ownerRead)
     : m_parts(std::move(parts))
     , m_store(store)
     , m_runner(runner)
     , m_online(online)
     , m_endNotice(std::move(endNotice))
+    , m_ownerRead(std::move(ownerRead))
 { }
 
 asio::awaitable<void> JobService::answerUnavailable(ServerExchange &exchange, std::string_view call,
@@ -149,22 +150,38 @@
     m_known[id] = Known{std::move(head), m_parts.clock.now()};
 }
 
+// From this instance if it owns the job, else from the owner that is known, else from the store. An
+// owner that answers saves the store a read of all results.
+asio::awaitable<Result<JobHead>> JobService::readNewest(std::string id, std::string owner)
+{
+    std::string ownId = id;
+    auto own = co_await m_runner.readableHead(std::move(ownId));
+    if (own)
+        co_return std::move(*own);
+    if (!owner.empty() && owner != m_runner.owner()) {
+        std::string askedId = id;
+        auto answered = co_await m_ownerRead(std::move(owner), std::move(askedId));
+        if (isOk(answered))
+            co_return answered;
+    }
+    co_return co_await m_store.read(std::move(id));
+}
+
 // The job as of the time or later. NotFound also for a job of another organisation.
 asio::awaitable<Result<std::shared_ptr<const JobHead>>>
 JobService::headOf(std::string id, std::string organisation, SteadyTime asOf)
 {
     const Error unknown{ErrorCode::NotFound, "no job '" + id + "'"};
     std::shared_ptr<const JobHead> head;
-    const auto owned = m_runner.find(id);
     const auto known = m_known.find(id);
-    if (owned && owned->confirmed >= asOf)
-        head = std::make_shared<const JobHead>(owned->head);
-    else if (known != m_known.end()
-             && (known->second.read >= asOf || !known->second.head->isOpen()))
-        head = known->second.head;
+    std::string owner;
+    if (known != m_known.end()) {
+        owner = known->second.head->owner;
+        if (known->second.read >= asOf || !known->second.head->isOpen())
+            head = known->second.head;
+    }
     if (!head) {
-        std::string name = id;
-        auto read = co_await m_store.read(std::move(name));
+        auto read = co_await readNewest(id, std::move(owner));
         if (!isOk(read))
             co_return errorOf(read).code == ErrorCode::NotFound ? unknown : errorOf(read);
         head = std::make_shared<const JobHead>(valueOf(std::move(read)));
--- a/src/serving/jobservice.h
+++ b/src/serving/jobservice.h
@@ -21,8 +21,12 @@
     /// Tells the other instances that a job has ended.
     using EndNotice = std::function<void(const std::string &id)>;
 
+    /// Asks the owner of a job, another instance, for its state; an error when it does not answer.
+    using OwnerRead = std::function<boost::asio::awaitable<Result<JobHead>>(std::string owner,
+                                                                            std::string id)>;
+
     JobService(ServingParts parts, JobStore &store, JobRunner &runner, OnlineService &online,
-               EndNotice endNotice);
+               EndNotice endNotice, OwnerRead ownerRead);
 
     /// Accepts a job once the store holds it.
     boost::asio::awaitable<void> submit(ServerExchange &exchange, OnlineRequest request);
@@ -46,6 +50,7 @@
                                                 std::vector<JobItem> items);
     boost::asio::awaitable<void> answerUnavailable(ServerExchange &exchange, std::string_view call,
                                                    std::string id, Error error);
+    boost::asio::awaitable<Result<JobHead>> readNewest(std::string id, std::string owner);
     void remember(std::shared_ptr<const JobHead> head);
 
     ServingParts m_parts;
@@ -53,6 +58,7 @@
     JobRunner &m_runner;
     OnlineService &m_online;
     EndNotice m_endNotice;
+    OwnerRead m_ownerRead;
     std::map<std::string, Known> m_known;
 };
 
--- a/src/serving/kindfollower.cpp
+++ b/src/serving/kindfollower.cpp
@@ -13,7 +13,9 @@
 namespace {
 
 // A watch costs one call however long it waits; a broken connection shows by its keep-alive probes.
-constexpr milliseconds WatchTime{30000};
+// Below the time for which the store keeps changes, else a watch without changes ends with a
+// listing.
+constexpr milliseconds WatchTime{15000};
 constexpr milliseconds FirstPause{50};
 constexpr milliseconds LongestPause{400};
 constexpr int MostDoublings = 3;
--- a/src/serving/ownedjob.h
+++ b/src/serving/ownedjob.h
@@ -46,6 +46,8 @@
     SteadyTime due{};
     /// When the store last confirmed that this instance owns the job and that it is open.
     SteadyTime confirmed{};
+    /// When the store last acknowledged a write or answered a read of the job.
+    SteadyTime acknowledged{};
     SteadyTime oldestUnwritten{};
     bool isWriting = false;
     /// Ended, or another instance owns it now.
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -10,6 +10,7 @@
 #include "serving/fleetpeers.h"
 #include "serving/ingress.h"
 #include "serving/instancedirectory.h"
+#include "serving/jobformat.h"
 #include "serving/jobrunner.h"
 #include "serving/jobservice.h"
 #include "serving/kindfollower.h"
@@ -43,6 +44,8 @@
 
 constexpr milliseconds TickInterval{50};
 constexpr milliseconds PeerCallTimeout{500};
+// A store read follows when the owner does not answer.
+constexpr milliseconds OwnerReadTimeout{300};
 constexpr milliseconds GatherTimePerInstance{12};
 constexpr milliseconds LeastGatherTime{150};
 // A third of the shortest time in which a configuration has to be in force.
@@ -100,6 +103,7 @@
     asio::awaitable<void> handleReady(ServerExchange &exchange);
     asio::awaitable<void> handleMetrics(ServerExchange &exchange);
     asio::awaitable<void> fetchConfig(std::string peer, std::uint64_t version);
+    asio::awaitable<Result<JobHead>> askOwner(std::string owner, std::string jobId);
     asio::awaitable<void> tell(SocketAddress address, wire::BodyUnion body, std::string jobId);
     asio::awaitable<void> tick();
     asio::awaitable<void> waitForSignals();
@@ -185,9 +189,12 @@
     runnerCallbacks.handOver = [this](const std::string &jobId) { return handOver(jobId); };
     jobs = std::make_unique<JobRunner>(context.get_executor(), parts(), *jobStore, owner,
                                        std::move(runnerCallbacks));
-    jobService =
-            std::make_unique<JobService>(parts(), *jobStore, *jobs, *online,
-                                         [this](const std::string &jobId) { tellEnded(jobId); });
+    jobService = std::make_unique<JobService>(
+            parts(), *jobStore, *jobs, *online,
+            [this](const std::string &jobId) { tellEnded(jobId); },
+            [this](std::string ownerName, std::string jobId) {
+                return askOwner(std::move(ownerName), std::move(jobId));
+            });
     ingress = std::make_unique<Ingress>(parts(), config, *online, *jobService);
 
     Scheduler::Callbacks schedulerCallbacks;
@@ -492,6 +499,24 @@
     }
 }
 
+asio::awaitable<Result<JobHead>> ServingInstance::Data::askOwner(std::string owner,
+                                                                 std::string jobId)
+{
+    const Error unknown{ErrorCode::Unavailable, "the owner '" + owner + "' can not tell"};
+    const auto address = peers.addressOf(owner.substr(0, owner.rfind('/')));
+    if (!address || !isOwnerAlive(owner))
+        co_return unknown;
+    wire::JobStateFetchT fetch;
+    fetch.jobId = std::move(jobId);
+    wire::BodyUnion body;
+    body.Set(std::move(fetch));
+    const auto reply = co_await peers.client().call(*address, std::move(body), OwnerReadTimeout);
+    const auto *data = isOk(reply) ? valueOf(reply).AsJobStateData() : nullptr;
+    if (data == nullptr || data->payload.empty())
+        co_return unknown;
+    co_return decodeJobText(std::string(data->payload.begin(), data->payload.end()));
+}
+
 // Tells a peer something about a job. What is lost here is found by a read of the store later.
 asio::awaitable<void> ServingInstance::Data::tell(SocketAddress address, wire::BodyUnion body,
                                                   std::string jobId)
@@ -521,6 +546,15 @@
     } else if (const auto *ended = envelope.body.AsJobEnded()) {
         jobs->jobEnded(ended->jobId);
         reply.Set(wire::PongT{});
+    } else if (const auto *fetchState = envelope.body.AsJobStateFetch()) {
+        std::string jobId = fetchState->jobId;
+        const auto head = co_await jobs->readableHead(std::move(jobId));
+        wire::JobStateDataT data;
+        if (head) {
+            const std::string text = encodeJobText(*head);
+            data.payload.assign(text.begin(), text.end());
+        }
+        reply.Set(std::move(data));
     } else if (const auto *notice = envelope.body.AsJobNotice()) {
         jobs->lookUp(notice->jobId);
         reply.Set(wire::PongT{});
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -152,6 +152,14 @@
 struct ConfigDataBuilder;
 struct ConfigDataT;
 
+struct JobStateFetch;
+struct JobStateFetchBuilder;
+struct JobStateFetchT;
+
+struct JobStateData;
+struct JobStateDataBuilder;
+struct JobStateDataT;
+
 struct JobEnded;
 struct JobEndedBuilder;
 struct JobEndedT;
@@ -374,11 +382,13 @@
   ConfigFetch = 27,
   ConfigData = 28,
   JobEnded = 29,
+  JobStateFetch = 30,
+  JobStateData = 31,
   MIN = NONE,
-  MAX = JobEnded
+  MAX = JobStateData
 };
 
-inline const Body (&EnumValuesBody())[30] {
+inline const Body (&EnumValuesBody())[32] {
   static const Body values[] = {
     Body::NONE,
     Body::Ping,
@@ -409,13 +419,15 @@
     Body::FleetReportReply,
     Body::ConfigFetch,
     Body::ConfigData,
-    Body::JobEnded
+    Body::JobEnded,
+    Body::JobStateFetch,
+    Body::JobStateData
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[31] = {
+  static const char * const names[33] = {
     "NONE",
     "Ping",
     "Pong",
@@ -446,13 +458,15 @@
     "ConfigFetch",
     "ConfigData",
     "JobEnded",
+    "JobStateFetch",
+    "JobStateData",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::JobEnded)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::JobStateData)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -577,6 +591,14 @@
   static const Body enum_value = Body::JobEnded;
 };
 
+template<> struct BodyTraits<pistachiofall::wire::JobStateFetch> {
+  static const Body enum_value = Body::JobStateFetch;
+};
+
+template<> struct BodyTraits<pistachiofall::wire::JobStateData> {
+  static const Body enum_value = Body::JobStateData;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -697,6 +719,14 @@
   static const Body enum_value = Body::JobEnded;
 };
 
+template<> struct BodyUnionTraits<pistachiofall::wire::JobStateFetchT> {
+  static const Body enum_value = Body::JobStateFetch;
+};
+
+template<> struct BodyUnionTraits<pistachiofall::wire::JobStateDataT> {
+  static const Body enum_value = Body::JobStateData;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -959,6 +989,22 @@
     return type == Body::JobEnded ?
       reinterpret_cast<const pistachiofall::wire::JobEndedT *>(value) : nullptr;
   }
+  pistachiofall::wire::JobStateFetchT *AsJobStateFetch() {
+    return type == Body::JobStateFetch ?
+      reinterpret_cast<pistachiofall::wire::JobStateFetchT *>(value) : nullptr;
+  }
+  const pistachiofall::wire::JobStateFetchT *AsJobStateFetch() const {
+    return type == Body::JobStateFetch ?
+      reinterpret_cast<const pistachiofall::wire::JobStateFetchT *>(value) : nullptr;
+  }
+  pistachiofall::wire::JobStateDataT *AsJobStateData() {
+    return type == Body::JobStateData ?
+      reinterpret_cast<pistachiofall::wire::JobStateDataT *>(value) : nullptr;
+  }
+  const pistachiofall::wire::JobStateDataT *AsJobStateData() const {
+    return type == Body::JobStateData ?
+      reinterpret_cast<const pistachiofall::wire::JobStateDataT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -4155,6 +4201,142 @@
 
 flatbuffers::Offset<ConfigData> CreateConfigData(flatbuffers::FlatBufferBuilder &_fbb, const ConfigDataT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct JobStateFetchT : public flatbuffers::NativeTable {
+  typedef JobStateFetch TableType;
+  std::string jobId{};
+};
+
+struct JobStateFetch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobStateFetchT NativeTableType;
+  typedef JobStateFetchBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOBID = 4
+  };
+  const flatbuffers::String *jobId() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOBID);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOBID) &&
+           verifier.VerifyString(jobId()) &&
+           verifier.EndTable();
+  }
+  JobStateFetchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobStateFetchT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobStateFetch> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobStateFetchT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobStateFetchBuilder {
+  typedef JobStateFetch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_jobId(flatbuffers::Offset<flatbuffers::String> jobId) {
+    fbb_.AddOffset(JobStateFetch::VT_JOBID, jobId);
+  }
+  explicit JobStateFetchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobStateFetch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobStateFetch>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobStateFetch> CreateJobStateFetch(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> jobId = 0) {
+  JobStateFetchBuilder builder_(_fbb);
+  builder_.add_jobId(jobId);
+  return builder_.Finish();
+}
+
+struct JobStateFetch::Traits {
+  using type = JobStateFetch;
+  static auto constexpr Create = CreateJobStateFetch;
+};
+
+inline flatbuffers::Offset<JobStateFetch> CreateJobStateFetchDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *jobId = nullptr) {
+  auto jobId__ = jobId ? _fbb.CreateString(jobId) : 0;
+  return pistachiofall::wire::CreateJobStateFetch(
+      _fbb,
+      jobId__);
+}
+
+flatbuffers::Offset<JobStateFetch> CreateJobStateFetch(flatbuffers::FlatBufferBuilder &_fbb, const JobStateFetchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobStateDataT : public flatbuffers::NativeTable {
+  typedef JobStateData TableType;
+  std::vector<uint8_t> payload{};
+};
+
+struct JobStateData FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobStateDataT NativeTableType;
+  typedef JobStateDataBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PAYLOAD = 4
+  };
+  const flatbuffers::Vector<uint8_t> *payload() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PAYLOAD);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PAYLOAD) &&
+           verifier.VerifyVector(payload()) &&
+           verifier.EndTable();
+  }
+  JobStateDataT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobStateDataT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobStateData> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobStateDataT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobStateDataBuilder {
+  typedef JobStateData Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_payload(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload) {
+    fbb_.AddOffset(JobStateData::VT_PAYLOAD, payload);
+  }
+  explicit JobStateDataBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobStateData> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobStateData>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobStateData> CreateJobStateData(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0) {
+  JobStateDataBuilder builder_(_fbb);
+  builder_.add_payload(payload);
+  return builder_.Finish();
+}
+
+struct JobStateData::Traits {
+  using type = JobStateData;
+  static auto constexpr Create = CreateJobStateData;
+};
+
+inline flatbuffers::Offset<JobStateData> CreateJobStateDataDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint8_t> *payload = nullptr) {
+  auto payload__ = payload ? _fbb.CreateVector<uint8_t>(*payload) : 0;
+  return pistachiofall::wire::CreateJobStateData(
+      _fbb,
+      payload__);
+}
+
+flatbuffers::Offset<JobStateData> CreateJobStateData(flatbuffers::FlatBufferBuilder &_fbb, const JobStateDataT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct JobEndedT : public flatbuffers::NativeTable {
   typedef JobEnded TableType;
   std::string jobId{};
@@ -4350,6 +4532,12 @@
   const pistachiofall::wire::JobEnded *body_as_JobEnded() const {
     return body_type() == pistachiofall::wire::Body::JobEnded ? static_cast<const pistachiofall::wire::JobEnded *>(body()) : nullptr;
   }
+  const pistachiofall::wire::JobStateFetch *body_as_JobStateFetch() const {
+    return body_type() == pistachiofall::wire::Body::JobStateFetch ? static_cast<const pistachiofall::wire::JobStateFetch *>(body()) : nullptr;
+  }
+  const pistachiofall::wire::JobStateData *body_as_JobStateData() const {
+    return body_type() == pistachiofall::wire::Body::JobStateData ? static_cast<const pistachiofall::wire::JobStateData *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOLVERSION, 2) &&
@@ -4482,6 +4670,14 @@
   return body_as_JobEnded();
 }
 
+template<> inline const pistachiofall::wire::JobStateFetch *Envelope::body_as<pistachiofall::wire::JobStateFetch>() const {
+  return body_as_JobStateFetch();
+}
+
+template<> inline const pistachiofall::wire::JobStateData *Envelope::body_as<pistachiofall::wire::JobStateData>() const {
+  return body_as_JobStateData();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5706,6 +5902,58 @@
       _payload);
 }
 
+inline JobStateFetchT *JobStateFetch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobStateFetchT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobStateFetch::UnPackTo(JobStateFetchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = jobId(); if (_e) _o->jobId = _e->str(); }
+}
+
+inline flatbuffers::Offset<JobStateFetch> JobStateFetch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobStateFetchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobStateFetch(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobStateFetch> CreateJobStateFetch(flatbuffers::FlatBufferBuilder &_fbb, const JobStateFetchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobStateFetchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _jobId = _o->jobId.empty() ? 0 : _fbb.CreateString(_o->jobId);
+  return pistachiofall::wire::CreateJobStateFetch(
+      _fbb,
+      _jobId);
+}
+
+inline JobStateDataT *JobStateData::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobStateDataT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobStateData::UnPackTo(JobStateDataT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = payload(); if (_e) { _o->payload.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->payload.begin()); } }
+}
+
+inline flatbuffers::Offset<JobStateData> JobStateData::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobStateDataT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobStateData(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobStateData> CreateJobStateData(flatbuffers::FlatBufferBuilder &_fbb, const JobStateDataT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobStateDataT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _payload = _o->payload.size() ? _fbb.CreateVector(_o->payload) : 0;
+  return pistachiofall::wire::CreateJobStateData(
+      _fbb,
+      _payload);
+}
+
 inline JobEndedT *JobEnded::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<JobEndedT>();
   UnPackTo(_o.get(), _resolver);
@@ -5894,6 +6142,14 @@
       auto ptr = reinterpret_cast<const pistachiofall::wire::JobEnded *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::JobStateFetch: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::JobStateFetch *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::JobStateData: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::JobStateData *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6029,6 +6285,14 @@
       auto ptr = reinterpret_cast<const pistachiofall::wire::JobEnded *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::JobStateFetch: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::JobStateFetch *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::JobStateData: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::JobStateData *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6152,6 +6416,14 @@
       auto ptr = reinterpret_cast<const pistachiofall::wire::JobEndedT *>(value);
       return CreateJobEnded(_fbb, ptr, _rehasher).Union();
     }
+    case Body::JobStateFetch: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::JobStateFetchT *>(value);
+      return CreateJobStateFetch(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::JobStateData: {
+      auto ptr = reinterpret_cast<const pistachiofall::wire::JobStateDataT *>(value);
+      return CreateJobStateData(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6274,6 +6546,14 @@
       value = new pistachiofall::wire::JobEndedT(*reinterpret_cast<pistachiofall::wire::JobEndedT *>(u.value));
       break;
     }
+    case Body::JobStateFetch: {
+      value = new pistachiofall::wire::JobStateFetchT(*reinterpret_cast<pistachiofall::wire::JobStateFetchT *>(u.value));
+      break;
+    }
+    case Body::JobStateData: {
+      value = new pistachiofall::wire::JobStateDataT(*reinterpret_cast<pistachiofall::wire::JobStateDataT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6426,6 +6706,16 @@
       delete ptr;
       break;
     }
+    case Body::JobStateFetch: {
+      auto ptr = reinterpret_cast<pistachiofall::wire::JobStateFetchT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::JobStateData: {
+      auto ptr = reinterpret_cast<pistachiofall::wire::JobStateDataT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/serving/jobformattest.cpp
+++ b/tests/serving/jobformattest.cpp
@@ -70,6 +70,23 @@
     CHECK_EQUAL(std::string("east-a-1/7"), valueOf(decoded).owner);
 }
 
+// Guards against a job that reads otherwise from its owner than from the store.
+TEST(JobFormat, TextComesBackAsItWas)
+{
+    JobHead head;
+    head.id = "job-1";
+    head.revision = 12;
+    head.host = "desk.example";
+    head.itemCount = 2;
+    head.results = {{"b", false, "text"}};
+    const auto decoded = decodeJobText(encodeJobText(head));
+    CHECK(isOk(decoded));
+    CHECK_EQUAL(std::string("job-1"), valueOf(decoded).id);
+    LONGS_EQUAL(12, valueOf(decoded).revision);
+    CHECK_EQUAL(std::string("text"), valueOf(decoded).results[0].output);
+    CHECK_FALSE(isOk(decodeJobText("{}")));
+}
+
 // Guards against an object of another writer that is taken for a job.
 TEST(JobFormat, RefusesOtherObjects)
 {
--- a/tests/wire/samples.h
+++ b/tests/wire/samples.h
@@ -38,6 +38,8 @@
     bodies.push_back(makeBody(wire::ConfigFetchT{{}, 40}));
     bodies.push_back(makeBody(wire::ConfigDataT{{}, 41, {1, 2, 3}}));
     bodies.push_back(makeBody(wire::JobEndedT{{}, "0123abcd"}));
+    bodies.push_back(makeBody(wire::JobStateFetchT{{}, "0123abcd"}));
+    bodies.push_back(makeBody(wire::JobStateDataT{{}, {4, 5}}));
 }
 
 /// A body with all fields set for each message type.
