--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -574,7 +574,7 @@
         wire::ConfigFetchT fetch;
         fetch.knownVersion = config.version();
         wire::BodyUnion body;
-        body.Set(std::move(fetch));
+        body.Set(fetch);
         const auto reply = co_await peers.client().call(*address, std::move(body), PeerCallTimeout);
         const auto *data = isOk(reply) ? valueOf(reply).AsConfigData() : nullptr;
         if (data != nullptr && !data->payload.empty())
