Sum the use of peers once, look again at most every 5 ms

Change: an endpoint keeps the sum of its peers; looks are gathered for 5 ms. Ruled out: fewer reports (the age of what is known is what makes streams late).

--- a/src/fleet/endpointboard.cpp
+++ b/src/fleet/endpointboard.cpp
@@ -36,12 +36,22 @@
 
 EndpointUse EndpointBoard::Entry::total() const
 {
-    EndpointUse sum = own;
-    for (const auto &[peer, use] : peers) {
-        sum.online += use.online;
-        sum.batch += use.batch;
+    return {own.online + byPeers.online, own.batch + byPeers.batch};
+}
+
+void EndpointBoard::Entry::setPeer(const std::string &peer, const EndpointUse &use)
+{
+    const auto found = peers.find(peer);
+    if (found != peers.end()) {
+        byPeers.online -= found->second.online;
+        byPeers.batch -= found->second.batch;
     }
-    return sum;
+    byPeers.online += use.online;
+    byPeers.batch += use.batch;
+    if (use.total() == 0 && found != peers.end())
+        peers.erase(found);
+    else if (use.total() > 0)
+        peers[peer] = use;
 }
 
 bool EndpointBoard::Entry::isFull() const
@@ -64,7 +74,7 @@
         isNew = true;
     }
     const auto place =
-            m_entries.try_emplace(endpoint.id, Entry{endpoint, {}, {}, {}, {}, {}, {}}).first;
+            m_entries.try_emplace(endpoint.id, Entry{endpoint, {}, {}, {}, {}, {}, {}, {}}).first;
     Entry &entry = place->second;
     const bool isChanged = isNew || entry.endpoint.isDraining != endpoint.isDraining
             || entry.endpoint.address != endpoint.address;
@@ -73,7 +83,7 @@
         for (const auto &[peer, uses] : m_peerUse) {
             const auto use = uses.find(endpoint.id);
             if (use != uses.end())
-                entry.peers[peer] = use->second;
+                entry.setPeer(peer, use->second);
         }
     }
     if (endpoint.coldLeft.count() > 0 && now + endpoint.coldLeft > entry.coldUntil)
@@ -187,10 +197,7 @@
         if (entry.isFull())
             entry.lastFull = now;
         const auto found = use.find(id);
-        if (found == use.end())
-            entry.peers.erase(peer);
-        else
-            entry.peers[peer] = found->second;
+        entry.setPeer(peer, found == use.end() ? EndpointUse{} : found->second);
     }
     m_peerUse[peer] = std::move(use);
 }
@@ -199,7 +206,7 @@
 {
     m_peerUse.erase(peer);
     for (auto &[id, entry] : m_entries)
-        entry.peers.erase(peer);
+        entry.setPeer(peer, {});
 }
 
 bool EndpointBoard::isServing(const Entry &entry) const
--- a/src/fleet/endpointboard.h
+++ b/src/fleet/endpointboard.h
@@ -85,8 +85,12 @@
         SteadyTime coldUntil{};
         std::optional<ColdGate> coldGate;
         std::map<std::string, EndpointUse> peers;
+        /// The sum of the peers. A choice looks at all endpoints, and a report of a peer changes
+        /// few.
+        EndpointUse byPeers;
         SteadyTime lastFull{};
 
+        void setPeer(const std::string &peer, const EndpointUse &use);
         EndpointUse total() const;
         bool isFull() const;
     };
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -19,6 +19,8 @@
 // Slots of each endpoint that batch items leave free. An item makes room within two reports, far
 // below the objectives of interactive routes, so that none has to be kept.
 constexpr int BatchReserve = 0;
+// Far below the age of what peers report.
+constexpr milliseconds UpdateDelay{5};
 // Until requests have been seen.
 constexpr milliseconds FirstMeanHold{500};
 constexpr double HoldWeight = 0.05;
@@ -50,6 +52,7 @@
     , m_clock(clock)
     , m_board(board)
     , m_metrics(metrics)
+    , m_updateTimer(executor)
 { }
 
 Scheduler::~Scheduler() = default;
@@ -154,7 +157,11 @@
         place->second += (seconds - place->second) * HoldWeight;
     }
     m_callbacks.useChanged();
-    update();
+    // A slot that is free is worth a look at once when a request waits for it.
+    if (m_queue.count(service) > 0)
+        lookAgain();
+    else
+        update();
 }
 
 void Scheduler::setPeerQueues(const std::string &peer, std::map<std::string, int> queues)
@@ -169,6 +176,18 @@
 
 void Scheduler::update()
 {
+    if (std::exchange(m_isUpdateDue, true))
+        return;
+    m_updateTimer.expires_after(UpdateDelay);
+    m_updateTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            lookAgain();
+    });
+}
+
+void Scheduler::lookAgain()
+{
+    m_isUpdateDue = false;
     dispatch();
     yieldWhereFull();
     m_callbacks.capacityChanged();
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -18,6 +18,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace pistachiofall {
 
@@ -70,7 +71,8 @@
     void setPeerQueues(const std::string &peer, std::map<std::string, int> queues);
     void forgetPeer(const std::string &peer);
 
-    /// Something that decides has changed: endpoints, what peers use, or the time.
+    /// Something that decides has changed: endpoints, what peers use, or the time. Changes that
+    /// come together are looked at once, since each look goes over all endpoints.
     void update();
 
     std::map<std::string, int> queueCounts() const { return m_queue.counts(); }
@@ -79,6 +81,7 @@
 private:
     struct Waiter;
 
+    void lookAgain();
     void dispatch();
     void yieldWhereFull();
     std::chrono::milliseconds meanHold(const std::string &service) const;
@@ -93,6 +96,8 @@
     std::map<std::string, std::map<std::string, int>> m_peerQueues;
     std::map<std::string, std::chrono::duration<double>> m_meanHold;
     std::uint64_t m_nextId = 1;
+    boost::asio::steady_timer m_updateTimer;
+    bool m_isUpdateDue = false;
 };
 
 } // namespace pistachiofall
