End unfinished requests before the scheduler, report fatal signals

Cause: a process whose grace ended before its requests did was destroyed with its coroutines last. An attempt gives its slot back to the scheduler when it is destroyed, and the scheduler was gone: the process ended with SIGSEGV (139).

Change: the context destroys its coroutines before the parts that they use.

--- a/src/base/decisionlog.h
+++ b/src/base/decisionlog.h
@@ -36,6 +36,9 @@
     /// Hands the buffer to the reader as far as it takes it. Call it every so often.
     void flush();
 
+    /// The lines that the reader has not taken yet.
+    std::string_view unwritten() const { return m_buffer; }
+
 private:
     struct Budget
     {
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -1,5 +1,6 @@
 #include "serving/servinginstance.h"
 
+#include "base/crashreport.h"
 #include "base/decisionlog.h"
 #include "base/stablehash.h"
 #include "base/systemclock.h"
@@ -42,6 +43,14 @@
 
 namespace {
 
+/// A context whose unfinished coroutines can be destroyed before the objects that they use.
+class ServingContext : public asio::io_context
+{
+public:
+    using asio::io_context::io_context;
+    void destroyCoroutines() { shutdown(); }
+};
+
 constexpr milliseconds TickInterval{50};
 constexpr milliseconds PeerCallTimeout{500};
 // A store read follows when the owner does not answer.
@@ -78,6 +87,9 @@
 {
     Data(const FleetSettings &fleetSettings, std::string file,
          std::shared_ptr<const ServingProtocol> servingProtocol);
+    ~Data();
+    Data(const Data &) = delete;
+    Data &operator=(const Data &) = delete;
 
     Result<Done> open(const SpaceFactory &spaceFactory);
     Result<Done> listen();
@@ -116,7 +128,7 @@
     SystemClock clock;
     DecisionLog log;
     MetricsRegistry metrics;
-    asio::io_context context{1};
+    ServingContext context{1};
     std::shared_ptr<ObjectSpace> space;
     EndpointBoard board;
     QuotaShares quotas;
@@ -157,6 +169,18 @@
     , client(EndpointClient::create(context.get_executor(), {}, metrics))
 { }
 
+// Requests that are unfinished when the process ends give their slots back to the scheduler, so
+// they have to end before it does.
+ServingInstance::Data::~Data()
+{
+    forgetCrashLog();
+    callerListener.reset();
+    readyListener.reset();
+    metricsListener.reset();
+    peerServer.reset();
+    context.destroyCoroutines();
+}
+
 ServingParts ServingInstance::Data::parts()
 {
     return {clock,     *protocol, log,
@@ -698,6 +722,7 @@
 void ServingInstance::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
+    installCrashReport(m_data->log);
     m_data->log.info(
             "started",
             {{"instance", m_data->settings.name},
--- a/tests/system/fleetservetest.cpp
+++ b/tests/system/fleetservetest.cpp
@@ -247,3 +247,39 @@
     CHECK(reply.contains(SealedEngine::eventData("r1", 30)));
     CHECK_EQUAL(0, fleet.instance(0).wait(seconds{9}));
 }
+
+// Guards against a process that ends by a memory fault when its grace is over before its requests
+// and batch items are.
+TEST(FleetServe, StopsInTimeWithUnfinishedRequests)
+{
+    SpaceFleet fleet(1);
+    fleet.startEndpoint("i-1", {"--event-gap-ms", "300"}, 8);
+    fleet.writeConfig(1, {"key-1"});
+    fleet.startInstance(0, {"stop_grace_ms = 1500"});
+    CHECK(fleet.waitReady(0));
+    CHECK_EQUAL(202U, fleet.call(0, "POST", "/batch/j", "job-1", job(3)).status);
+    std::vector<std::thread> callers;
+    for (int index = 0; index < 12; ++index)
+        callers.emplace_back([&fleet, index] {
+            const std::string id = "r" + std::to_string(index);
+            fleet.call(0, "POST", "/talk/stream/x", id, "hello");
+        });
+    std::this_thread::sleep_for(milliseconds{700});
+    fleet.instance(0).signal(SIGTERM);
+    CHECK_EQUAL(0, fleet.instance(0).wait(seconds{3}));
+    for (std::thread &caller : callers)
+        caller.join();
+}
+
+// Guards against a process that ends by a fault without a word of where.
+TEST(FleetServe, FatalSignalLeavesALine)
+{
+    SpaceFleet fleet(1);
+    fleet.startInstance(0);
+    CHECK(!fleet.instance(0).waitForLine("", seconds{5}).empty());
+    fleet.instance(0).signal(SIGSEGV);
+    const std::string text = fleet.instance(0).readAll(seconds{5});
+    CHECK(text.find("CRITICAL crashed signal=11 address=") != std::string::npos);
+    CHECK(text.find(" frames=0x") != std::string::npos);
+    CHECK_EQUAL(128 + SIGSEGV, fleet.instance(0).wait(seconds{3}));
+}
--- a/tests/system/spacefleet.cpp
+++ b/tests/system/spacefleet.cpp
@@ -129,7 +129,7 @@
     store("POST", "/control/fault?mode=" + mode, {});
 }
 
-void SpaceFleet::startInstance(int index)
+void SpaceFleet::startInstance(int index, const std::vector<std::string> &furtherSettings)
 {
     const Ports &ports = m_ports[static_cast<std::size_t>(index)];
     const std::string name = "gateway-" + std::to_string(index);
@@ -141,6 +141,8 @@
                  << address(ports.ready) << "\"\npeers = \"" << address(ports.peers) << "\"\n"
                  << "[store]\naddress = \"" << address(m_storePort) << "\"\n[fleet]\nseeds = [\""
                  << address(m_ports[0].peers) << "\"]\n";
+        for (const std::string &line : furtherSettings)
+            settings << line << "\n";
     }
     const std::vector<std::string> arguments{"fleet", "serve", "--settings", file};
     auto &process = m_instances[static_cast<std::size_t>(index)];
--- a/tests/system/spacefleet.h
+++ b/tests/system/spacefleet.h
@@ -37,7 +37,8 @@
                      int burst = 1000);
     void setStore(const std::string &mode);
 
-    void startInstance(int index);
+    /// Each further setting is a line of the section "fleet".
+    void startInstance(int index, const std::vector<std::string> &furtherSettings = {});
     bool waitReady(int index, std::chrono::milliseconds timeout = std::chrono::seconds{10});
     ChildProcess &instance(int index);
     std::uint16_t callerPort(int index) const;
