Take over a job's stored state in one place, by item

While a write of a job's results waited for its answer, a read of the same job could find these results in the store and take them out of the list of unwritten ones. The acknowledged write then erased as many entries as it had sent, past the end of the list: SIGSEGV, or results of other items erased without ever being written, and a job that never got complete.

The store was away at that time, so that a reader's question led to a read beside the write.

Change: writes and reads go through OwnedJob::takeStored, which removes results by their item and never goes back to an older revision. An acknowledged write that a newer end or owner has overtaken releases the job. JobStore::create no longer builds two errors in one conditional expression, which g++ 12 is known to treat badly in coroutines; that one was not seen to fail.

--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -339,18 +339,14 @@
         }
         JobHead next = job->head;
         next.owner = m_owner;
-        const std::size_t count = job->unwritten.size();
         next.results.insert(next.results.end(), job->unwritten.begin(), job->unwritten.end());
         JobHead sent = next;
         const auto revision = co_await m_store.write(std::move(sent));
         if (isOk(revision)) {
             next.revision = valueOf(revision);
-            job->head = std::move(next);
-            job->confirmed = m_parts.clock.now();
-            job->acknowledged = job->confirmed;
-            job->unwritten.erase(job->unwritten.begin(),
-                                 job->unwritten.begin() + static_cast<std::ptrdiff_t>(count));
+            job->takeStored(std::move(next), m_parts.clock.now());
             job->oldestUnwritten = m_parts.clock.now();
+            releaseIfNotOurs(job);
             continue;
         }
         m_parts.log.warning("results_not_written",
@@ -374,23 +370,17 @@
             release(job, "not_stored");
         co_return false;
     }
-    // A write that was acknowledged meanwhile is newer.
-    if (valueOf(stored).revision < job->head.revision)
-        co_return true;
-    job->head = valueOf(std::move(stored));
-    job->confirmed = m_parts.clock.now();
-    job->acknowledged = job->confirmed;
-    // A write without an answer may have been done.
-    std::erase_if(job->unwritten, [&job](const JobResult &result) {
-        return std::any_of(
-                job->head.results.begin(), job->head.results.end(),
-                [&result](const JobResult &each) { return each.itemId == result.itemId; });
-    });
+    job->takeStored(valueOf(std::move(stored)), m_parts.clock.now());
+    releaseIfNotOurs(job);
+    co_return true;
+}
+
+void JobRunner::releaseIfNotOurs(const JobPtr &job)
+{
     if (job->head.owner != m_owner)
         release(job, "other_owner");
     else if (job->head.hasEnded)
         release(job, "ended");
-    co_return true;
 }
 
 void JobRunner::release(const JobPtr &job, std::string_view reason)
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -84,6 +84,7 @@
     void finish(const JobPtr &job, std::size_t index, JobResult result);
     boost::asio::awaitable<void> writeResults(JobPtr job);
     boost::asio::awaitable<bool> reconcile(JobPtr job);
+    void releaseIfNotOurs(const JobPtr &job);
     void release(const JobPtr &job, std::string_view reason);
     boost::asio::awaitable<void> adoptRepeatedly();
     boost::asio::awaitable<void> adoptOrphans();
--- a/src/serving/jobstore.cpp
+++ b/src/serving/jobstore.cpp
@@ -93,8 +93,8 @@
         m_log.warning("job_store_uncertain", {{"job", head.id}, {"reason", last.message}});
         co_await sleepFor(RetryPause);
     }
-    co_return mayExist ? Error{ErrorCode::OutcomeUnknown, last.message}
-                       : Error{ErrorCode::Unavailable, last.message};
+    last.code = mayExist ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable;
+    co_return last;
 }
 
 JobStore::Async<JobHead> JobStore::read(std::string id)
--- /dev/null
+++ b/src/serving/ownedjob.cpp
@@ -0,0 +1,24 @@
+#include "serving/ownedjob.h"
+
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace pistachiofall {
+
+bool OwnedJob::takeStored(JobHead stored, SteadyTime now)
+{
+    if (stored.revision < head.revision)
+        return false;
+    head = std::move(stored);
+    confirmed = now;
+    acknowledged = now;
+    std::set<std::string_view> written;
+    for (const JobResult &result : head.results)
+        written.insert(result.itemId);
+    std::erase_if(unwritten,
+                  [&written](const JobResult &result) { return written.contains(result.itemId); });
+    return true;
+}
+
+} // namespace pistachiofall
--- a/src/serving/ownedjob.h
+++ b/src/serving/ownedjob.h
@@ -54,6 +54,11 @@
     bool isReleased = false;
 
     std::size_t finishedCount() const { return head.results.size() + unwritten.size(); }
+
+    /// Takes over what the store holds, by an acknowledged write or a read, and forgets the
+    /// unwritten results that are in it: reads and writes of a job overlap, so that the results of
+    /// a write may be known already when it is acknowledged. False when a newer head is known.
+    bool takeStored(JobHead stored, SteadyTime now);
 };
 
 } // namespace pistachiofall
