Remove what nothing uses of health answers and service fields

ServingProtocol::decodeHealth, EndpointHealthAnswer and the fields healthPath, maxConnections, coldPeriod and isEngine of ServingService were decoded and read nowhere; OnlineService::attempt and passOn returned results that no caller used. One check of tests/platform asked for isEngine and goes with the field; the check of the cold rate beside it stays.

--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -122,8 +122,7 @@
         co_await giveUp(exchange, run);
 }
 
-// Returns whether a slot was had.
-asio::awaitable<bool> OnlineService::attempt(ServerExchange &exchange, Run &run)
+asio::awaitable<void> OnlineService::attempt(ServerExchange &exchange, Run &run)
 {
     const OnlineRequest &request = run.request;
     // An endpoint that failed before is better than none.
@@ -139,7 +138,7 @@
     SlotOutcome outcome = co_await m_parts.scheduler.acquire(std::move(slot), run.caller);
     if (const auto *refusal = std::get_if<SlotRefusal>(&outcome)) {
         run.refusal = *refusal;
-        co_return false;
+        co_return;
     }
     Attempt attempt(*this, run, std::get<Placement>(std::move(outcome)));
     m_parts.log.info("request_placed",
@@ -152,7 +151,6 @@
     co_await send(run, attempt);
     if (attempt.call)
         co_await passOn(exchange, run, attempt);
-    co_return true;
 }
 
 // Sends the request; the attempt has no call afterwards when there is no answer to pass on.
@@ -252,22 +250,23 @@
                          {"runs", run.runs}});
 }
 
-asio::awaitable<bool> OnlineService::passOn(ServerExchange &exchange, Run &run, Attempt &attempt)
+asio::awaitable<void> OnlineService::passOn(ServerExchange &exchange, Run &run, Attempt &attempt)
 {
     const bool isStream = attempt.head.headers.get("Content-Type").starts_with("text/event-stream")
             && attempt.head.status < 300 && exchange.canStream();
     if (isStream || run.isStreaming)
-        co_return co_await passOnStream(exchange, run, attempt);
-    co_return co_await passOnWhole(exchange, run, attempt);
+        co_await passOnStream(exchange, run, attempt);
+    else
+        co_await passOnWhole(exchange, run, attempt);
 }
 
-asio::awaitable<bool> OnlineService::passOnWhole(ServerExchange &exchange, Run &run,
+asio::awaitable<void> OnlineService::passOnWhole(ServerExchange &exchange, Run &run,
                                                  Attempt &attempt)
 {
     auto body = co_await attempt.call->readAll(MaxAnswerBytes);
     if (!isOk(body)) {
         noteFailure(run, attempt, failureOf(body).error.message, true);
-        co_return false;
+        co_return;
     }
     if (attempt.head.status < FirstServerError)
         m_parts.board.noteSuccess(attempt.placement.endpoint.id);
@@ -283,17 +282,16 @@
                       {"endpoint", attempt.placement.endpoint.id},
                       {"status", static_cast<int>(attempt.head.status)},
                       {"took_ms", std::int64_t{until(answered, run.request.arrival).count()}}});
-    co_return co_await exchange.respond(attempt.head.status, attempt.head.headers,
-                                        valueOf(std::move(body)));
+    co_await exchange.respond(attempt.head.status, attempt.head.headers, valueOf(std::move(body)));
 }
 
-asio::awaitable<bool> OnlineService::passOnStream(ServerExchange &exchange, Run &run,
+asio::awaitable<void> OnlineService::passOnStream(ServerExchange &exchange, Run &run,
                                                   Attempt &attempt)
 {
     // A run that goes on elsewhere has to be a stream again.
     if (run.isStreaming && attempt.head.status >= 300) {
         noteFailure(run, attempt, "the stream did not go on", true);
-        co_return false;
+        co_return;
     }
     EventSplitter splitter;
     std::string ready;
@@ -310,17 +308,17 @@
         auto piece = co_await attempt.call->readSome();
         if (!isOk(piece)) {
             noteFailure(run, attempt, failureOf(piece).error.message, true);
-            co_return false;
+            co_return;
         }
         const bool isEnd = valueOf(piece).empty();
         if (!splitter.feed(valueOf(piece), onEvent) || !isInOrder
             || (isEnd && splitter.hasPartialEvent())) {
             noteFailure(run, attempt, "the events are malformed or out of order", true);
-            co_return false;
+            co_return;
         }
         if (m_parts.clock.now() >= run.request.deadline) {
             noteFailure(run, attempt, "the request timed out within its stream", true);
-            co_return false;
+            co_return;
         }
         if (!ready.empty() && !run.isStreaming) {
             m_parts.metrics.histogram("first_event_seconds")
@@ -330,7 +328,7 @@
                     co_await exchange.startStream(attempt.head.status, attempt.head.headers);
             if (!isStarted) {
                 run.caller.noteGone();
-                co_return false;
+                co_return;
             }
         }
         if (!ready.empty()) {
@@ -339,7 +337,7 @@
             const bool isTaken = co_await exchange.writeChunk(std::move(chunk));
             if (!isTaken) {
                 run.caller.noteGone();
-                co_return false;
+                co_return;
             }
         }
         if (isEnd)
@@ -357,7 +355,7 @@
                       {"endpoint", attempt.placement.endpoint.id},
                       {"events", std::uint64_t{lastId.value_or(0)}},
                       {"took_ms", std::int64_t{until(answered, run.request.arrival).count()}}});
-    co_return co_await exchange.finishStream();
+    co_await exchange.finishStream();
 }
 
 asio::awaitable<void> OnlineService::giveUp(ServerExchange &exchange, Run &run)
--- a/src/serving/onlineservice.h
+++ b/src/serving/onlineservice.h
@@ -53,11 +53,11 @@
     struct Run;
     struct Attempt;
 
-    boost::asio::awaitable<bool> attempt(ServerExchange &exchange, Run &run);
+    boost::asio::awaitable<void> attempt(ServerExchange &exchange, Run &run);
     boost::asio::awaitable<void> send(Run &run, Attempt &attempt);
-    boost::asio::awaitable<bool> passOn(ServerExchange &exchange, Run &run, Attempt &attempt);
-    boost::asio::awaitable<bool> passOnWhole(ServerExchange &exchange, Run &run, Attempt &attempt);
-    boost::asio::awaitable<bool> passOnStream(ServerExchange &exchange, Run &run, Attempt &attempt);
+    boost::asio::awaitable<void> passOn(ServerExchange &exchange, Run &run, Attempt &attempt);
+    boost::asio::awaitable<void> passOnWhole(ServerExchange &exchange, Run &run, Attempt &attempt);
+    boost::asio::awaitable<void> passOnStream(ServerExchange &exchange, Run &run, Attempt &attempt);
     boost::asio::awaitable<void> giveUp(ServerExchange &exchange, Run &run);
     void noteFailure(Run &run, Attempt &attempt, std::string_view reason, bool mayHaveRun);
     bool mayTryAgain(const Run &run) const;
--- a/src/serving/servingprotocol.h
+++ b/src/serving/servingprotocol.h
@@ -32,14 +32,6 @@
     std::string retirementKind;
 };
 
-/// The health of an endpoint as it answers a check.
-struct EndpointHealthAnswer
-{
-    bool isHealthy = false;
-    std::string endpointId;
-    std::chrono::milliseconds coldLeft{0};
-};
-
 /// Names and formats of one way to speak to callers, endpoints and the store. It translates and
 /// decides nothing.
 class ServingProtocol
@@ -68,7 +60,6 @@
     virtual HttpHeaders endpointHeaders(const HttpHeaders &caller,
                                         const EndpointHop &hop) const = 0;
     virtual AnswerKind classify(const AnswerHead &head, std::string_view requestId) const = 0;
-    virtual EndpointHealthAnswer decodeHealth(const AnswerHead &head) const = 0;
 
     /// The items of a submitted job; InvalidArgument names what can not be read.
     virtual Result<std::vector<JobItem>> decodeJob(std::string_view body) const = 0;
--- a/tests/platform/platformprotocoltest.cpp
+++ b/tests/platform/platformprotocoltest.cpp
@@ -122,6 +122,5 @@
     CHECK(batch->retention == std::chrono::seconds{60});
     CHECK(batch->dueAfter == std::chrono::seconds{18});
     CHECK(valueOf(config)->service("s")->coldRate == 12);
-    CHECK(valueOf(config)->service("s")->isEngine);
     CHECK(valueOf(config)->organisationOfKey("k")->ratePerSecond == 45);
 }
