Store a job's results in parts when one object can not hold them

Cause: all results of a job lay in the job's object. The store takes objects of at most value_bytes (a mebibyte in the example); a job of 200 items with about 5 KB each could not be written anymore and never got complete. Nor did the bound come from the settings.

Change: results that the store holds already move to an object of their own, created before the job names it. Only stored results move, whose order is final, so that a part left behind by an owner that ended in between holds what the next owner would put there, or the first of it; what comes first holds. A write that can not take all new results takes the first ones. Readers keep the last parts.

Ruled out: a part for each write (more store calls for each job), and results in parts by size before they are stored (a replaced owner could put others there).

--- a/src/serving/jobformat.cpp
+++ b/src/serving/jobformat.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-// Leaves room below the store's bound of a mebibyte for the names around the bodies.
-constexpr std::size_t MaxPartBytes = 700'000;
 constexpr std::size_t FieldOverhead = 64;
 
 std::int64_t integerField(const json::value &value, std::string_view name)
@@ -66,13 +64,24 @@
     return item;
 }
 
+json::object encodeResult(const JobResult &result)
+{
+    return {{"id", result.itemId}, {"dead", result.isDead}, {"output", result.output}};
+}
+
 json::object encodeStatus(const JobHead &head)
 {
+    json::array parts;
+    for (const std::size_t count : head.resultParts)
+        parts.emplace_back(static_cast<std::int64_t>(count));
     json::array results;
-    for (const JobResult &result : head.results)
-        results.push_back(json::object{
-                {"id", result.itemId}, {"dead", result.isDead}, {"output", result.output}});
-    return {{"owner", head.owner}, {"ended", head.hasEnded}, {"results", std::move(results)}};
+    const std::size_t left = head.partedResults() - head.missingResults;
+    for (std::size_t index = left; index < head.results.size(); ++index)
+        results.push_back(encodeResult(head.results[index]));
+    return {{"owner", head.owner},
+            {"ended", head.hasEnded},
+            {"parts", std::move(parts)},
+            {"results", std::move(results)}};
 }
 
 bool flagField(const json::value &value, std::string_view name)
@@ -81,15 +90,24 @@
     return field != nullptr && field->is_bool() && field->get_bool();
 }
 
+JobResult decodeResult(const json::value &value)
+{
+    return {textField(value, {"id"}), flagField(value, "dead"), textField(value, {"output"})};
+}
+
 void decodeStatus(const json::value &status, JobHead &head)
 {
     const std::string owner = textField(status, {"owner"});
     if (!owner.empty())
         head.owner = owner;
     head.hasEnded = flagField(status, "ended");
+    for (const json::value &count : arrayField(status, {"parts"}))
+        head.resultParts.push_back(count.is_int64() ? static_cast<std::size_t>(count.get_int64())
+                                                    : 0);
     for (const json::value &each : arrayField(status, {"results"}))
-        head.results.push_back(
-                {textField(each, {"id"}), flagField(each, "dead"), textField(each, {"output"})});
+        head.results.push_back(decodeResult(each));
+    head.missingResults = head.partedResults();
+    head.storedResults = head.resultCount();
 }
 
 } // namespace
@@ -159,13 +177,43 @@
     return decodeJobHead(object);
 }
 
-std::vector<json::value> encodeJobItems(const std::vector<JobItem> &items)
+std::size_t encodedSize(const JobResult &result)
+{
+    // A byte takes six at most, as an escape.
+    std::size_t size = result.itemId.size() + FieldOverhead;
+    for (const char byte : result.output) {
+        const bool isPlain =
+                byte != '"' && byte != '\\' && static_cast<unsigned char>(byte) >= 0x20;
+        size += isPlain ? 1 : 6;
+    }
+    return size;
+}
+
+json::value encodeJobResults(const std::vector<JobResult> &results)
+{
+    json::array encoded;
+    for (const JobResult &result : results)
+        encoded.push_back(encodeResult(result));
+    return json::object{{"results", std::move(encoded)}};
+}
+
+Result<std::vector<JobResult>> decodeJobResults(const json::value &part)
+{
+    std::vector<JobResult> results;
+    for (const json::value &each : arrayField(part, {"results"}))
+        results.push_back(decodeResult(each));
+    if (results.empty())
+        return Error{ErrorCode::ProtocolError, "an object of results holds none"};
+    return results;
+}
+
+std::vector<json::value> encodeJobItems(const std::vector<JobItem> &items, std::size_t maxPartBytes)
 {
     std::vector<json::value> parts;
     json::array part;
     std::size_t size = 0;
     for (const JobItem &item : items) {
-        if (!part.empty() && size + sizeOf(item) > MaxPartBytes) {
+        if (!part.empty() && size + sizeOf(item) > maxPartBytes) {
             parts.emplace_back(json::object{{"items", std::exchange(part, json::array())}});
             size = 0;
         }
--- a/src/serving/jobformat.h
+++ b/src/serving/jobformat.h
@@ -12,7 +12,8 @@
 /// How batch jobs are written to the store.
 namespace pistachiofall {
 
-/// The object of a job; its spec holds what does not change, its status the rest.
+/// The object of a job; its spec holds what does not change, its status the rest. Results that lie
+/// in parts are left out.
 SpaceObject encodeJobHead(const JobHead &head);
 /// ProtocolError for an object of another writer.
 Result<JobHead> decodeJobHead(const SpaceObject &object);
@@ -22,8 +23,16 @@
 /// ProtocolError for a text that is no job.
 Result<JobHead> decodeJobText(std::string_view text);
 
-/// The items in as few parts as the size of an object allows.
-std::vector<boost::json::value> encodeJobItems(const std::vector<JobItem> &items);
+/// How many bytes a result takes in an object, at most.
+std::size_t encodedSize(const JobResult &result);
+/// Results that lie in an object of their own.
+boost::json::value encodeJobResults(const std::vector<JobResult> &results);
+/// ProtocolError for an object without results.
+Result<std::vector<JobResult>> decodeJobResults(const boost::json::value &part);
+
+/// The items in as few parts as possible, each of at most so many bytes unless one item is larger.
+std::vector<boost::json::value> encodeJobItems(const std::vector<JobItem> &items,
+                                               std::size_t maxPartBytes);
 /// Appends the items of one part. ProtocolError for an object of another writer.
 Result<Done> decodeJobItems(const boost::json::value &part, std::vector<JobItem> &items);
 
--- a/src/serving/jobhead.h
+++ b/src/serving/jobhead.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -33,10 +34,23 @@
     /// The instance, and the start of its process, that runs the items.
     std::string owner;
     bool hasEnded = false;
-    /// In the order of their positions, which never change.
+    /// The first results lie in objects of their own when one object can not hold all of them; this
+    /// is how many each of these objects holds.
+    std::vector<std::size_t> resultParts;
+    /// The results in the order of their positions, which never change. JobStore::read() fills in
+    /// those of the parts; a head from elsewhere may still lack the first missingResults.
     std::vector<JobResult> results;
-
-    bool isOpen() const { return !hasEnded && results.size() < itemCount; }
+    std::size_t missingResults = 0;
+    /// How many of the results the store is known to hold.
+    std::size_t storedResults = 0;
+
+    std::size_t resultCount() const { return missingResults + results.size(); }
+    /// How many results lie in parts.
+    std::size_t partedResults() const
+    {
+        return std::accumulate(resultParts.begin(), resultParts.end(), std::size_t{0});
+    }
+    bool isOpen() const { return !hasEnded && resultCount() < itemCount; }
 };
 
 } // namespace pistachiofall
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -340,17 +340,15 @@
         JobHead next = job->head;
         next.owner = m_owner;
         next.results.insert(next.results.end(), job->unwritten.begin(), job->unwritten.end());
-        JobHead sent = next;
-        const auto revision = co_await m_store.write(std::move(sent));
-        if (isOk(revision)) {
-            next.revision = valueOf(revision);
-            job->takeStored(std::move(next), m_parts.clock.now());
+        auto written = co_await m_store.write(std::move(next));
+        if (isOk(written)) {
+            job->takeStored(valueOf(std::move(written)), m_parts.clock.now());
             job->oldestUnwritten = m_parts.clock.now();
             releaseIfNotOurs(job);
             continue;
         }
         m_parts.log.warning("results_not_written",
-                            {{"job", job->head.id}, {"reason", errorOf(revision).message}});
+                            {{"job", job->head.id}, {"reason", errorOf(written).message}});
         co_await reconcile(job);
         if (!job->isReleased)
             co_await sleepFor(WriteRetryPause);
@@ -517,18 +515,17 @@
     }
     const std::string before = std::exchange(taken.owner, m_owner);
     JobHead sent = taken;
-    const auto revision = co_await m_store.write(std::move(sent));
+    auto written = co_await m_store.write(std::move(sent));
     m_parts.log.info(
             "job_adopted",
             {{"job", taken.id},
              {"from", before},
-             {"outcome", isOk(revision) ? std::string("taken") : errorOf(revision).message}});
-    if (!isOk(revision)) {
+             {"outcome", isOk(written) ? std::string("taken") : errorOf(written).message}});
+    if (!isOk(written)) {
         lookUp(taken.id);
         co_return;
     }
-    taken.revision = valueOf(revision);
-    add(std::move(taken), valueOf(std::move(items)));
+    add(valueOf(std::move(written)), valueOf(std::move(items)));
 }
 
 } // namespace pistachiofall
--- a/src/serving/jobservice.cpp
+++ b/src/serving/jobservice.cpp
@@ -161,8 +161,10 @@
     if (!owner.empty() && owner != m_runner.owner()) {
         std::string askedId = id;
         auto answered = co_await m_ownerRead(std::move(owner), std::move(askedId));
-        if (isOk(answered))
-            co_return answered;
+        if (isOk(answered)) {
+            JobHead incomplete = valueOf(std::move(answered));
+            co_return co_await m_store.completeResults(std::move(incomplete));
+        }
     }
     co_return co_await m_store.read(std::move(id));
 }
--- a/src/serving/jobstore.cpp
+++ b/src/serving/jobstore.cpp
@@ -3,6 +3,7 @@
 #include "serving/jobformat.h"
 #include "wire/sleep.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace pistachiofall {
@@ -14,7 +15,12 @@
 
 constexpr const char *JobKind = "pistachiofall-jobs";
 constexpr const char *ItemsKind = "pistachiofall-items";
+constexpr const char *ResultsKind = "pistachiofall-results";
 constexpr milliseconds RetryPause{50};
+// What an object may hold besides what is counted: names and punctuation.
+constexpr double PartOfObject = 2.0 / 3;
+// Parts that are kept for callers who read a job piece by piece.
+constexpr std::size_t MostKeptParts = 16;
 
 std::string partName(const std::string &id, std::size_t part)
 {
@@ -28,12 +34,30 @@
             || error.code == ErrorCode::InvalidArgument;
 }
 
+// How many of the results the job's object and the parts before it can hold. One that is too large
+// by itself is tried all the same.
+std::size_t fittingResults(const JobHead &head, std::size_t maxBytes)
+{
+    const std::size_t inParts = head.partedResults() - head.missingResults;
+    std::size_t count = inParts;
+    std::size_t size = 0;
+    while (count < head.results.size()) {
+        size += encodedSize(head.results[count]);
+        if (size > maxBytes && count > inParts)
+            break;
+        ++count;
+    }
+    return std::max(count, head.storedResults - head.missingResults);
+}
+
 } // namespace
 
-JobStore::JobStore(const Clock &clock, DecisionLog &log, std::shared_ptr<ObjectSpace> space)
+JobStore::JobStore(const Clock &clock, DecisionLog &log, std::shared_ptr<ObjectSpace> space,
+                   std::size_t maxObjectBytes)
     : m_clock(clock)
     , m_log(log)
     , m_space(std::move(space))
+    , m_maxPartBytes(static_cast<std::size_t>(static_cast<double>(maxObjectBytes) * PartOfObject))
 { }
 
 void JobStore::noteAnswer(bool isAnswered)
@@ -65,7 +89,7 @@
 JobStore::Async<JobHead> JobStore::create(JobHead head, std::vector<JobItem> items,
                                           SteadyTime deadline)
 {
-    auto parts = encodeJobItems(items);
+    auto parts = encodeJobItems(items, m_maxPartBytes);
     head.partCount = parts.size();
     head.revision = 0;
     const auto stored = co_await createItems(head.id, std::move(parts), deadline);
@@ -103,7 +127,88 @@
     noteAnswer(isOk(object) || errorOf(object).code == ErrorCode::NotFound);
     if (!isOk(object))
         co_return errorOf(object);
-    co_return decodeJobHead(valueOf(object));
+    Result<JobHead> head = decodeJobHead(valueOf(object));
+    if (!isOk(head) || valueOf(head).missingResults == 0)
+        co_return head;
+    JobHead incomplete = valueOf(std::move(head));
+    co_return co_await completeResults(std::move(incomplete));
+}
+
+JobStore::Async<std::vector<JobResult>> JobStore::readPart(std::string name)
+{
+    const auto known = m_parts.find(name);
+    if (known != m_parts.end())
+        co_return known->second;
+    std::string asked = name;
+    const auto object = co_await m_space->get(ResultsKind, std::move(asked));
+    if (!isOk(object))
+        co_return errorOf(object);
+    auto results = decodeJobResults(valueOf(object).spec);
+    if (!isOk(results))
+        co_return errorOf(results);
+    if (m_parts.emplace(name, valueOf(results)).second)
+        m_partOrder.push_back(name);
+    if (m_partOrder.size() > MostKeptParts) {
+        m_parts.erase(m_partOrder.front());
+        m_partOrder.pop_front();
+    }
+    co_return results;
+}
+
+JobStore::Async<JobHead> JobStore::completeResults(JobHead head)
+{
+    if (head.missingResults == 0)
+        co_return head;
+    std::vector<JobResult> all;
+    for (std::size_t part = 0; part < head.resultParts.size(); ++part) {
+        std::string name = partName(head.id, part);
+        auto results = co_await readPart(std::move(name));
+        if (!isOk(results))
+            co_return errorOf(results);
+        if (valueOf(results).size() != head.resultParts[part])
+            co_return Error{ErrorCode::ProtocolError,
+                            "the results of job '" + head.id + "' in part " + std::to_string(part)
+                                    + " are not as many as the job says"};
+        for (JobResult &result : valueOf(results))
+            all.push_back(std::move(result));
+    }
+    for (JobResult &result : head.results)
+        all.push_back(std::move(result));
+    head.results = std::move(all);
+    head.missingResults = 0;
+    co_return head;
+}
+
+// Moves the stored results that lie in the job's object to one of their own. The head names it
+// then; that is not stored yet.
+JobStore::Async<JobHead> JobStore::moveResults(JobHead head)
+{
+    const auto begin = static_cast<std::ptrdiff_t>(head.partedResults() - head.missingResults);
+    const auto end = static_cast<std::ptrdiff_t>(head.storedResults - head.missingResults);
+    const std::vector<JobResult> moved(head.results.begin() + begin, head.results.begin() + end);
+    const std::string name = partName(head.id, head.resultParts.size());
+    SpaceObject object;
+    object.name = name;
+    object.spec = encodeJobResults(moved);
+    const auto created = co_await m_space->create(ResultsKind, std::move(object));
+    std::size_t count = moved.size();
+    if (!isOk(created) && errorOf(created).code != ErrorCode::AlreadyExists)
+        co_return errorOf(created);
+    if (!isOk(created)) {
+        std::string asked = name;
+        const auto present = co_await readPart(std::move(asked));
+        if (!isOk(present))
+            co_return errorOf(present);
+        count = valueOf(present).size();
+        if (count > moved.size())
+            co_return Error{ErrorCode::Conflict, "another owner has stored more results"};
+    }
+    m_log.info("results_moved",
+               {{"job", head.id},
+                {"part", std::uint64_t{head.resultParts.size()}},
+                {"results", std::uint64_t{count}}});
+    head.resultParts.push_back(count);
+    co_return head;
 }
 
 JobStore::Async<std::vector<JobItem>> JobStore::readItems(JobHead head)
@@ -122,14 +227,25 @@
     co_return items;
 }
 
-JobStore::Async<std::uint64_t> JobStore::write(JobHead head)
+JobStore::Async<JobHead> JobStore::write(JobHead head)
 {
+    std::size_t fitting = fittingResults(head, m_maxPartBytes);
+    if (fitting < head.results.size() && head.storedResults > head.partedResults()) {
+        auto moved = co_await moveResults(std::move(head));
+        if (!isOk(moved))
+            co_return errorOf(moved);
+        head = valueOf(std::move(moved));
+        fitting = fittingResults(head, m_maxPartBytes);
+    }
+    head.results.resize(fitting);
     SpaceObject object = encodeJobHead(head);
     const auto written = co_await m_space->replaceStatus(JobKind, std::move(object));
     noteAnswer(isOk(written) || errorOf(written).code == ErrorCode::Conflict);
     if (!isOk(written))
         co_return errorOf(written);
-    co_return valueOf(written).revision;
+    head.revision = valueOf(written).revision;
+    head.storedResults = head.resultCount();
+    co_return head;
 }
 
 JobStore::Async<std::vector<JobHead>> JobStore::listOpen()
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -204,7 +204,7 @@
 void ServingInstance::Data::wire()
 {
     online = std::make_unique<OnlineService>(parts());
-    jobStore = std::make_unique<JobStore>(clock, log, space);
+    jobStore = std::make_unique<JobStore>(clock, log, space, settings.maxObjectBytes);
     const std::string owner = settings.name + '/' + std::to_string(peers.incarnation());
     JobRunner::Callbacks runnerCallbacks;
     runnerCallbacks.config = [this] { return config.config(); };
--- a/src/settings/fleetsettings.h
+++ b/src/settings/fleetsettings.h
@@ -4,6 +4,7 @@
 #include "store/storesettings.h"
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,6 +27,9 @@
     /// Where other instances may be found while the store is away.
     std::vector<SocketAddress> seeds;
     StoreSettings store;
+    /// The largest object that the store accepts.
+    static constexpr std::size_t DefaultMaxObjectBytes = std::size_t{1} << 20U;
+    std::size_t maxObjectBytes = DefaultMaxObjectBytes;
     /// The sliding window of the organisations' limits.
     std::chrono::milliseconds quotaWindow{5000};
     /// Requests beyond a limit that operators allow in one window.
--- a/src/settings/loadfleetsettings.cpp
+++ b/src/settings/loadfleetsettings.cpp
@@ -18,6 +18,9 @@
 constexpr std::array<std::string_view, 4> Sections{"instance", "listen", "store", "fleet"};
 constexpr std::uint16_t LeastPort = 1;
 constexpr std::int64_t MaxMilliseconds = 600'000;
+// A job's object has to hold one result and what the job is.
+constexpr std::int64_t LeastObjectBytes = 4096;
+constexpr std::int64_t MostObjectBytes = std::int64_t{1} << 30U;
 
 void checkSections(const toml::table &document, SettingsErrors &errors)
 {
@@ -63,12 +66,15 @@
     StoreSettings store;
     const auto storeAddress = storeReader.requiredAddress("address", LeastPort);
     storeReader.milliseconds("call_timeout_ms", 10, MaxMilliseconds, store.callTimeout);
+    std::size_t maxObjectBytes = FleetSettings::DefaultMaxObjectBytes;
+    storeReader.integer("max_object_bytes", LeastObjectBytes, MostObjectBytes, maxObjectBytes);
     storeReader.finish();
     if (!errors.isEmpty() || !peers || !storeAddress)
         return errors.joined();
     store.address = storeAddress->toString();
     FleetSettings settings{
             std::move(name), std::move(failureDomain), callers, ready, metrics, *peers, {}, store};
+    settings.maxObjectBytes = maxObjectBytes;
     settings.seeds = readSeeds(document, errors);
     toml::table fleetTable;
     if (const toml::table *fleet = document["fleet"].as_table())
--- a/tests/serving/jobformattest.cpp
+++ b/tests/serving/jobformattest.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t MaxPartBytes = 700'000;
+
 JobItem item(const std::string &id, std::size_t bodySize)
 {
     JobItem each;
@@ -23,7 +25,7 @@
 // Guards against bodies and headers that come back with other bytes.
 TEST(JobFormat, ItemsComeBackAsTheyWere)
 {
-    const auto parts = encodeJobItems({item("a", 3), item("b", 0)});
+    const auto parts = encodeJobItems({item("a", 3), item("b", 0)}, MaxPartBytes);
     LONGS_EQUAL(1, parts.size());
     std::vector<JobItem> items;
     CHECK(isOk(decodeJobItems(parts[0], items)));
@@ -39,7 +41,7 @@
     std::vector<JobItem> items;
     for (int index = 0; index < 20; ++index)
         items.push_back(item("i" + std::to_string(index), 100'000));
-    const auto parts = encodeJobItems(items);
+    const auto parts = encodeJobItems(items, MaxPartBytes);
     LONGS_EQUAL(4, parts.size());
     std::vector<JobItem> read;
     for (const auto &part : parts)
--- a/tests/settings/loadfleetsettingstest.cpp
+++ b/tests/settings/loadfleetsettingstest.cpp
@@ -19,6 +19,7 @@
 [store]
 address = "127.0.0.1:83"
 call_timeout_ms = 700
+max_object_bytes = 65536
 [fleet]
 seeds = ["127.0.0.2:82"]
 quota_window_ms = 5000
@@ -30,6 +31,7 @@
     LONGS_EQUAL(80, valueOf(settings).callers->port());
     LONGS_EQUAL(1, valueOf(settings).seeds.size());
     CHECK(valueOf(settings).store.callTimeout == std::chrono::milliseconds{700});
+    LONGS_EQUAL(65536, valueOf(settings).maxObjectBytes);
     CHECK(valueOf(settings).stopGrace == std::chrono::seconds{8});
 }
 
--- a/tests/system/fleetservetest.cpp
+++ b/tests/system/fleetservetest.cpp
@@ -158,6 +158,22 @@
     CHECK(after.body.find(listOf(before.body)) != std::string::npos);
 }
 
+// Guards against results that are lost, or can not be read at another instance, when they need more
+// than one object of the store.
+TEST(FleetServe, JobWithManyResults)
+{
+    SpaceFleet fleet(2);
+    fleet.startEndpoint("i-1", {"--event-gap-ms", "1"}, 8);
+    startTwo(fleet);
+    CHECK_EQUAL(202U, fleet.call(0, "POST", "/batch/j", "job-1", job(40)).status);
+    CHECK(isDone(fleet, 1, 40));
+    fleet.instance(0).kill();
+    const auto read = fleet.call(1, "GET", "/api/lots/job-1?after=0", "read");
+    for (int item = 0; item < 40; ++item)
+        CHECK(read.contains(expectedOutput("item-" + std::to_string(item), 30)));
+    CHECK(fleet.instance(0).readAll(seconds{2}).find("results_moved") != std::string::npos);
+}
+
 // Guards against a stored job that is refused as not run, or that is stored twice, when the answer
 // of the store is lost.
 TEST(FleetServe, LostAnswerOfTheStoreIsNoRefusal)
--- a/tests/system/spacefleet.cpp
+++ b/tests/system/spacefleet.cpp
@@ -139,8 +139,11 @@
         settings << "[instance]\nname = \"" << name << "\"\nfailure_domain = \"east-a\"\n"
                  << "[listen]\ncallers = \"" << address(ports.callers) << "\"\nready = \""
                  << address(ports.ready) << "\"\npeers = \"" << address(ports.peers) << "\"\n"
-                 << "[store]\naddress = \"" << address(m_storePort) << "\"\n[fleet]\nseeds = [\""
-                 << address(m_ports[0].peers) << "\"]\n";
+                 << "[store]\naddress = \"" << address(m_storePort)
+                 << "\"\n"
+                 // Small, so that the results of a few items need several objects.
+                 << "max_object_bytes = 4096\n[fleet]\nseeds = [\"" << address(m_ports[0].peers)
+                 << "\"]\n";
         for (const std::string &line : furtherSettings)
             settings << line << "\n";
     }
