Do not wait for a log reader while a process crashes

A process that wrote its last lines to a pipe whose reader has stopped would have waited there for ever, neither serving nor ended. It now writes what the reader takes at once, as the log does. Found while reading the change.

partedResults() of a job's head is resultsInParts() now.

--- a/src/base/crashreport.cpp
+++ b/src/base/crashreport.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <atomic>
 #include <charconv>
+#include <climits>
 #include <csignal>
 #include <cstdint>
 #include <cstring>
@@ -13,6 +14,7 @@
 
 #include <execinfo.h>
 #include <link.h>
+#include <poll.h>
 #include <unistd.h>
 
 namespace pistachiofall {
@@ -55,10 +57,16 @@
     std::size_t m_size = 0;
 };
 
+// Ends at a reader that takes nothing: a process that waits here would neither serve nor end.
 void writeAll(std::string_view text)
 {
     while (!text.empty()) {
-        const ssize_t written = write(crashFileDescriptor, text.data(), text.size());
+        pollfd descriptor{crashFileDescriptor, POLLOUT, 0};
+        if (poll(&descriptor, 1, 0) != 1 || (descriptor.revents & POLLOUT) == 0)
+            return;
+        // A pipe that is writable takes so much without waiting.
+        const ssize_t written = write(crashFileDescriptor, text.data(),
+                                      std::min<std::size_t>(text.size(), PIPE_BUF));
         if (written <= 0)
             return;
         text.remove_prefix(static_cast<std::size_t>(written));
--- a/src/serving/jobformat.cpp
+++ b/src/serving/jobformat.cpp
@@ -75,7 +75,7 @@
     for (const std::size_t count : head.resultParts)
         parts.emplace_back(static_cast<std::int64_t>(count));
     json::array results;
-    const std::size_t left = head.partedResults() - head.missingResults;
+    const std::size_t left = head.resultsInParts() - head.missingResults;
     for (std::size_t index = left; index < head.results.size(); ++index)
         results.push_back(encodeResult(head.results[index]));
     return {{"owner", head.owner},
@@ -106,7 +106,7 @@
                                                     : 0);
     for (const json::value &each : arrayField(status, {"results"}))
         head.results.push_back(decodeResult(each));
-    head.missingResults = head.partedResults();
+    head.missingResults = head.resultsInParts();
     head.storedResults = head.resultCount();
 }
 
--- a/src/serving/jobhead.h
+++ b/src/serving/jobhead.h
@@ -46,7 +46,7 @@
 
     std::size_t resultCount() const { return missingResults + results.size(); }
     /// How many results lie in parts.
-    std::size_t partedResults() const
+    std::size_t resultsInParts() const
     {
         return std::accumulate(resultParts.begin(), resultParts.end(), std::size_t{0});
     }
--- a/src/serving/jobstore.cpp
+++ b/src/serving/jobstore.cpp
@@ -38,7 +38,7 @@
 // by itself is tried all the same.
 std::size_t fittingResults(const JobHead &head, std::size_t maxBytes)
 {
-    const std::size_t inParts = head.partedResults() - head.missingResults;
+    const std::size_t inParts = head.resultsInParts() - head.missingResults;
     std::size_t count = inParts;
     std::size_t size = 0;
     while (count < head.results.size()) {
@@ -183,7 +183,7 @@
 // then; that is not stored yet.
 JobStore::Async<JobHead> JobStore::moveResults(JobHead head)
 {
-    const auto begin = static_cast<std::ptrdiff_t>(head.partedResults() - head.missingResults);
+    const auto begin = static_cast<std::ptrdiff_t>(head.resultsInParts() - head.missingResults);
     const auto end = static_cast<std::ptrdiff_t>(head.storedResults - head.missingResults);
     const std::vector<JobResult> moved(head.results.begin() + begin, head.results.begin() + end);
     const std::string name = partName(head.id, head.resultParts.size());
@@ -230,7 +230,7 @@
 JobStore::Async<JobHead> JobStore::write(JobHead head)
 {
     std::size_t fitting = fittingResults(head, m_maxPartBytes);
-    if (fitting < head.results.size() && head.storedResults > head.partedResults()) {
+    if (fitting < head.results.size() && head.storedResults > head.resultsInParts()) {
         auto moved = co_await moveResults(std::move(head));
         if (!isOk(moved))
             co_return errorOf(moved);
