Report the age of each watch of the store

Whether an instance lags because its watch is silent, because its peers did not tell it or because it decided before a change could not be told from its metrics: store_age_ms counts an open watch as contact with the store. The gauge watch_age_ms{kind} is the time since the store's last response to the watch of each kind.

No change of behaviour.

--- a/src/serving/kindwatcher.h
+++ b/src/serving/kindwatcher.h
@@ -41,6 +41,10 @@
     /// The last time when the store was known to be available: its last response, or now while a
     /// watch is open.
     SteadyTime lastContact() const;
+    /// The time of the last response of the store. Unlike lastContact(), an open watch does not
+    /// count, because a watch may stay open without ever being answered.
+    SteadyTime lastResponse() const { return m_lastResponse; }
+    const std::string &kind() const { return m_kind; }
     /// Whether all objects have been listed at least once.
     bool hasListed() const { return m_hasListed; }
 
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -630,6 +630,10 @@
 {
     metrics.gauge("config_version").set(static_cast<std::int64_t>(config.version()));
     metrics.gauge("store_age_ms").set(storeAge().count());
+    for (const auto &watcher : watchers) {
+        const auto age = duration_cast<milliseconds>(clock.now() - watcher->lastResponse());
+        metrics.gauge("watch_age_ms", {{"kind", watcher->kind()}}).set(age.count());
+    }
     metrics.gauge("peers_alive").set(static_cast<std::int64_t>(peers.aliveNames().size()));
     metrics.gauge("jobs_owned").set(static_cast<std::int64_t>(jobs->jobCount()));
     HttpHeaders headers{{"Content-Type", "text/plain; version=0.0.4"}};
