Show configurations that are not in force in time, failing

What callers see: an instance handles requests by an older configuration although the store has acknowledged a newer one longer ago than the bound.

system.config compares what each instance has in force, read from its metrics all the time, with what the store has acknowledged. All instances are real processes behind a proxy; the stand-in of the store can leave open watches without an answer, refuse watches or answer them unreadably.

--- a/standins/common/spacestore.cpp
+++ b/standins/common/spacestore.cpp
@@ -1,5 +1,7 @@
 #include "common/spacestore.h"
 
+#include "common/pause.h"
+
 #include <algorithm>
 
 #include <boost/json/array.hpp>
@@ -15,6 +17,8 @@
 
 constexpr std::string_view ObjectsPath = "/api/objects/";
 constexpr std::size_t MostChanges = 10'000;
+// Longer than any test.
+constexpr std::chrono::minutes MutedTime{10};
 
 std::uint64_t revisionOf(const json::object &object)
 {
@@ -55,6 +59,11 @@
         co_await answer(exchange, 200, {});
         co_return;
     }
+    if (path == "/control/mute") {
+        ++m_muteCount;
+        co_await answer(exchange, 200, {});
+        co_return;
+    }
     if (m_fault == "down") {
         co_await answer(exchange, 503, {});
         co_return;
@@ -170,11 +179,27 @@
     m_changed.notifyAll();
 }
 
+json::array SpaceStore::changesSince(const std::string &kind, std::uint64_t revision) const
+{
+    json::array events;
+    for (const Change &change : m_history) {
+        if (change.revision > revision && change.kind == kind)
+            events.push_back(
+                    json::object{{"tombstone", change.isRemoved}, {"object", change.object}});
+    }
+    return events;
+}
+
 asio::awaitable<void> SpaceStore::watch(HttpExchange &exchange, const std::string &kind)
 {
     const std::uint64_t after = std::stoull(exchange.query("watch"));
     const std::chrono::milliseconds wait(std::stoll(exchange.query("wait_ms", "1000")));
     const auto until = std::chrono::steady_clock::now() + wait;
+    const int muteCount = m_muteCount;
+    if (m_fault == "refuse-watches") {
+        co_await answer(exchange, 503, {});
+        co_return;
+    }
     if (!m_history.empty() && m_history.front().revision > after + 1
         && m_history.size() >= MostChanges) {
         co_await answer(exchange, 410, {});
@@ -182,13 +207,17 @@
     }
     for (;;) {
         const auto generation = m_changed.generation();
-        json::array events;
-        for (const Change &change : m_history) {
-            if (change.revision > after && change.kind == kind)
-                events.push_back(
-                        json::object{{"tombstone", change.isRemoved}, {"object", change.object}});
-        }
+        json::array events = changesSince(kind, after);
         const bool isOver = std::chrono::steady_clock::now() >= until;
+        if (muteCount != m_muteCount) {
+            co_await pause(MutedTime);
+            exchange.drop();
+            co_return;
+        }
+        if (!events.empty() && m_fault == "garble-watches") {
+            co_await exchange.respond(200, "application/json", "{\"events\":[");
+            co_return;
+        }
         if (!events.empty() || isOver || m_fault == "down") {
             const json::object body{{"events", std::move(events)}, {"current_rev", m_revision}};
             co_await answer(exchange, 200, body);
--- a/standins/common/spacestore.h
+++ b/standins/common/spacestore.h
@@ -11,13 +11,22 @@
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
 namespace pistachiofall::standins {
 
 /// A store of objects by kind and name with one revision for all, as the users' platform has it:
-/// reads, writes with a condition, and watches. POST /control/fault?mode=down|ok|lose sets a fault:
-/// every call gets 503, or writes that are done are not answered. It lives on one thread.
+/// reads, writes with a condition, and watches. It lives on one thread.
+///
+/// POST /control/fault?mode=MODE sets a fault, which replaces the one before it:
+/// - ok: none;
+/// - down: every call gets 503;
+/// - lose: writes that are done are not answered;
+/// - refuse-watches: watches get 503, all other calls work;
+/// - garble-watches: the answers to watches that report a change can not be read.
+/// POST /control/mute leaves the watches that are open now without an answer for good, with their
+/// connections open; later watches work.
 class SpaceStore
 {
 public:
@@ -38,6 +47,7 @@
     boost::asio::awaitable<void> answer(HttpExchange &exchange, unsigned status,
                                         const boost::json::object &body);
     boost::json::object listing(const std::string &kind) const;
+    boost::json::array changesSince(const std::string &kind, std::uint64_t revision) const;
     unsigned create(const std::string &kind, const boost::json::object &request,
                     boost::json::object &result);
     unsigned replace(const Key &key, const std::string &field, const boost::json::object &request,
@@ -50,6 +60,8 @@
     std::uint64_t m_revision = 1;
     ChangeSignal m_changed;
     std::string m_fault = "ok";
+    /// Counts the calls of /control/mute; a watch that began before the last one is not answered.
+    int m_muteCount = 0;
 };
 
 } // namespace pistachiofall::standins
--- a/tests/system/spacefleet.cpp
+++ b/tests/system/spacefleet.cpp
@@ -41,17 +41,33 @@
 
 } // namespace
 
-SpaceFleet::SpaceFleet(int instances)
+SpaceFleet::SpaceFleet(int instances, StorePath storePath)
     : m_folder(std::filesystem::temp_directory_path() / ("spacefleet-" + std::to_string(getpid())))
 {
     std::filesystem::create_directories(m_folder);
     m_store = std::make_unique<ChildProcess>("standin_space", std::vector<std::string>{});
     m_storePort = announcedPort(*m_store);
     for (int index = 0; index < instances; ++index)
-        m_ports.push_back({freePort(), freePort(), freePort()});
+        m_ports.push_back({freePort(), freePort(), freePort(), freePort(), m_storePort});
+    if (storePath == StorePath::Proxied)
+        startProxy();
     m_instances.resize(static_cast<std::size_t>(instances));
 }
 
+void SpaceFleet::startProxy()
+{
+    std::vector<std::string> arguments;
+    for (std::size_t index = 0; index < m_ports.size(); ++index) {
+        m_ports[index].store = freePort();
+        arguments.insert(arguments.end(),
+                         {"--route",
+                          "path-" + std::to_string(index) + "=" + address(m_ports[index].store)
+                                  + "," + address(m_storePort)});
+    }
+    m_proxy = std::make_unique<ChildProcess>("standin_proxy", arguments);
+    m_proxyControl = announcedPort(*m_proxy);
+}
+
 SpaceFleet::~SpaceFleet()
 {
     m_instances.clear();
@@ -79,10 +95,21 @@
     all.insert(all.end(), arguments.begin(), arguments.end());
     m_endpoints[id] = std::make_unique<ChildProcess>("standin_sealedengine", all);
     m_endpointPorts[id] = announcedPort(*m_endpoints[id]);
-    store("POST", "/api/objects/servers",
-          R"({"metadata":{"name":")" + id + R"("},"spec":{"service":"chat","address":")"
-                  + address(m_endpointPorts[id]) + R"(","zone":"east-a","slots":)"
-                  + std::to_string(slots) + R"(,"state":"ready","cold_left_ms":0}})");
+    m_endpointSlots[id] = slots;
+    store("POST", "/api/objects/servers", endpointEntry(id, "ready"));
+}
+
+std::string SpaceFleet::endpointEntry(const std::string &id, const std::string &state)
+{
+    return R"({"metadata":{"name":")" + id + R"("},"spec":{"service":"chat","address":")"
+            + address(m_endpointPorts[id]) + R"(","zone":"east-a","slots":)"
+            + std::to_string(m_endpointSlots[id]) + R"(,"state":")" + state
+            + R"(","cold_left_ms":0}})";
+}
+
+void SpaceFleet::drainEndpoint(const std::string &id)
+{
+    store("PUT", "/api/objects/servers/" + id, endpointEntry(id, "draining"));
 }
 
 void SpaceFleet::unregisterEndpoint(const std::string &id)
@@ -110,10 +137,13 @@
     std::string list;
     for (const std::string &key : keys)
         list += (list.empty() ? "\"" : ",\"") + key + "\"";
+    std::string extra;
+    for (int index = 0; index < m_extraRoutes; ++index)
+        extra += "," + route("extra-" + std::to_string(index), "safe", 2, false);
     const std::string object = R"({"metadata":{"name":"main"},"spec":{"version":)"
             + std::to_string(version) + R"(,"routes":[)" + route("plain", "safe", 2, false) + ","
             + route("once", "unsafe", 2, false) + "," + route("talk", "stream", 3, true) + ","
-            + route("batch", "batch", 3, true)
+            + route("batch", "batch", 3, true) + extra
             + R"(],"services":[{"name":"chat","health_path":"/health","cold_per_s":0}],)"
             + R"("tenants":[{"name":"acme","api_keys":[)" + list + R"(],"rate_per_s":)"
             + std::to_string(rate) + R"(,"burst":)" + std::to_string(burst) + "}]}}";
@@ -129,6 +159,31 @@
     store("POST", "/control/fault?mode=" + mode, {});
 }
 
+void SpaceFleet::muteWatches()
+{
+    store("POST", "/control/mute", {});
+}
+
+void SpaceFleet::setStorePath(int index, const std::string &fault)
+{
+    HttpCall call;
+    call.port = m_proxyControl;
+    call.method = "POST";
+    call.target = "/control/path-" + std::to_string(index) + "?" + fault;
+    const HttpReply reply = httpCall(call);
+    if (reply.status != 200)
+        std::printf("proxy %s: %s\n", call.target.c_str(), describe(reply).c_str());
+}
+
+std::int64_t SpaceFleet::metric(int index, const std::string &name)
+{
+    const HttpReply reply = httpGet(m_ports[static_cast<std::size_t>(index)].metrics, "/metrics");
+    const auto found = ("\n" + reply.body).find("\n" + name + " ");
+    if (reply.status != 200 || found == std::string::npos)
+        return -1;
+    return std::strtoll(reply.body.c_str() + found + name.size() + 1, nullptr, 10);
+}
+
 std::string SpaceFleet::stored(const std::string &kind)
 {
     return httpGet(m_storePort, "/api/objects/" + kind).body;
@@ -143,8 +198,9 @@
         std::ofstream settings(file);
         settings << "[instance]\nname = \"" << name << "\"\nfailure_domain = \"east-a\"\n"
                  << "[listen]\ncallers = \"" << address(ports.callers) << "\"\nready = \""
-                 << address(ports.ready) << "\"\npeers = \"" << address(ports.peers) << "\"\n"
-                 << "[store]\naddress = \"" << address(m_storePort)
+                 << address(ports.ready) << "\"\npeers = \"" << address(ports.peers)
+                 << "\"\nmetrics = \"" << address(ports.metrics) << "\"\n"
+                 << "[store]\naddress = \"" << address(ports.store)
                  << "\"\n"
                  // Small, so that the results of a few items need several objects.
                  << "max_object_bytes = 4096\n[fleet]\nseeds = [\"" << address(m_ports[0].peers)
--- a/tests/system/spacefleet.h
+++ b/tests/system/spacefleet.h
@@ -17,7 +17,14 @@
 class SpaceFleet
 {
 public:
-    explicit SpaceFleet(int instances);
+    /// How the instances reach the store.
+    enum class StorePath {
+        Direct,
+        /// Each through its own route of a proxy that injects faults.
+        Proxied,
+    };
+
+    explicit SpaceFleet(int instances, StorePath storePath = StorePath::Direct);
     ~SpaceFleet();
     SpaceFleet(const SpaceFleet &) = delete;
     SpaceFleet &operator=(const SpaceFleet &) = delete;
@@ -30,12 +37,20 @@
     void cutNextStream(const std::string &id, int afterEvents);
     ChildProcess &endpoint(const std::string &id);
     void unregisterEndpoint(const std::string &id);
+    /// Marks the endpoint's entry as draining.
+    void drainEndpoint(const std::string &id);
 
     /// Writes a configuration in which these keys belong to the organisation "acme", whose limit is
     /// the rate and the burst.
     void writeConfig(int version, const std::vector<std::string> &keys, int rate = 1000,
                      int burst = 1000);
+    /// The number of routes that each further configuration has in addition.
+    void setExtraRoutes(int count) { m_extraRoutes = count; }
     void setStore(const std::string &mode);
+    /// Leaves the watches that are open now without an answer for good.
+    void muteWatches();
+    /// Sets a fault of the proxy between an instance and the store, such as "mode=freeze".
+    void setStorePath(int index, const std::string &fault);
     /// The objects of a kind in the store, as it lists them.
     std::string stored(const std::string &kind);
 
@@ -43,6 +58,8 @@
     void startInstance(int index, const std::vector<std::string> &furtherSettings = {});
     bool waitReady(int index, std::chrono::milliseconds timeout = std::chrono::seconds{10});
     ChildProcess &instance(int index);
+    /// The value of a metric of an instance, named with its labels; -1 without an answer.
+    std::int64_t metric(int index, const std::string &name);
     std::uint16_t callerPort(int index) const;
 
     /// A call of a caller with the key "key-1" and the headers that each request has.
@@ -56,17 +73,26 @@
         std::uint16_t callers = 0;
         std::uint16_t ready = 0;
         std::uint16_t peers = 0;
+        std::uint16_t metrics = 0;
+        /// Where the instance reaches the store.
+        std::uint16_t store = 0;
     };
 
+    void startProxy();
+    std::string endpointEntry(const std::string &id, const std::string &state);
     void store(const std::string &method, const std::string &target, const std::string &body);
 
     std::string m_folder;
     std::unique_ptr<ChildProcess> m_store;
     std::uint16_t m_storePort = 0;
+    std::unique_ptr<ChildProcess> m_proxy;
+    std::uint16_t m_proxyControl = 0;
     std::vector<Ports> m_ports;
     std::vector<std::unique_ptr<ChildProcess>> m_instances;
     std::map<std::string, std::unique_ptr<ChildProcess>> m_endpoints;
     std::map<std::string, std::uint16_t> m_endpointPorts;
+    std::map<std::string, int> m_endpointSlots;
+    int m_extraRoutes = 0;
     bool m_hasConfig = false;
 };
 
