Do not trust an open watch of the store

What callers see: an instance handles requests by an older configuration, or sends requests to an endpoint that drains, although the store has acknowledged the change longer ago than the bound.

Cause: KindWatcher took an open watch for a sign that nothing had changed. Peers help only if their watch is not silent as well, and only for the configuration. A watch that failed was repeated from the same revision, so that one whose answer can not be read, or that the store refuses while listings work, failed for ever. Class: a lack of news is taken for news.

Change: WatchFreshness decides, without a network, when a watch is not fresh. Each report to a peer carries, for the kinds that bounds depend on (configuration, endpoints, evacuations), the newest change known and the age of the store's last confirmation that there is none newer. If no close peer has a confirmation younger than 0.4 of the bound, the instance with the lowest rank asks the store for changes since its last revision; a result that the open watch did not report, or no answer, opens a new watch. An instance whose peer knows a newer change lists anew. Two failed watches in a row lead to a listing. fleet.change_bound_ms is new in the settings. The fleet asks about once in 0.8 s a kind, whatever its size within a failure domain.

--- a/src/serving/fleetpeers.cpp
+++ b/src/serving/fleetpeers.cpp
@@ -26,6 +26,8 @@
 constexpr std::int64_t PeersWithShortInterval = 16;
 constexpr milliseconds MaxReportInterval{1000};
 constexpr milliseconds HeartbeatInterval{200};
+// Peers whose interval is no longer than this are close.
+constexpr milliseconds CloseReportInterval{100};
 constexpr milliseconds CallTimeout{400};
 constexpr milliseconds RetryDelay{200};
 // A peer is lost after five heartbeats without a report, or after this many report intervals if
@@ -351,6 +353,16 @@
     return names;
 }
 
+std::vector<std::string> FleetPeers::closePeers() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, member] : m_members) {
+        if (member->isAlive && !member->isLeaving && reportInterval(*member) <= CloseReportInterval)
+            names.push_back(name);
+    }
+    return names;
+}
+
 bool FleetPeers::isAlive(const std::string &name) const
 {
     const auto found = m_members.find(name);
--- a/src/serving/fleetpeers.h
+++ b/src/serving/fleetpeers.h
@@ -87,6 +87,9 @@
     std::vector<std::string> callerInstances() const;
     /// The names of the instances that report and are not leaving, including this one.
     std::vector<std::string> aliveNames() const;
+    /// The names of the other live instances with which reports are exchanged several times in the
+    /// time after which a peer's result is needed.
+    std::vector<std::string> closePeers() const;
     bool isAlive(const std::string &name) const;
     /// The incarnation of the peer's process in its last report; nothing before the first report.
     std::optional<std::uint64_t> incarnationOf(const std::string &name) const;
--- a/src/serving/kindwatcher.cpp
+++ b/src/serving/kindwatcher.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace pistachiofall {
 
 namespace asio = boost::asio;
@@ -12,28 +15,39 @@
 
 namespace {
 
-// A watch is one call regardless of its duration, and keep-alive probes detect a broken connection.
-// Must be less than the time for which the store keeps changes; otherwise a watch without changes
-// is followed by a listing.
+// A watch is one call regardless of its duration. Must be less than the time for which the store
+// keeps changes; otherwise a watch without changes is followed by a listing.
 constexpr milliseconds WatchTimeout{15000};
 constexpr milliseconds InitialBackoff{50};
 constexpr milliseconds MaxBackoff{400};
 constexpr int MaxBackoffDoublings = 3;
 // After a failure a short watch shows quickly whether the store responds again.
 constexpr milliseconds WatchTimeoutAfterFailure{50};
+// A watch that fails this often in a row may fail for a reason that a listing does not meet, such
+// as an answer that is too large or malformed.
+constexpr int WatchFailuresBeforeListing = 2;
+// Leaves time within the bound on changes for a listing over a new connection.
+constexpr milliseconds AskTimeout{400};
 // A shorter gap is not an outage but a slow response.
 constexpr milliseconds MinReportedOutage{1000};
+// The time after the coalescing within which the watch of a healthy instance reports what its peers
+// know.
+constexpr milliseconds BehindMargin{250};
 
 } // namespace
 
-KindWatcher::KindWatcher(const Clock &clock, DecisionLog &log, std::shared_ptr<ObjectSpace> space,
-                         std::string kind, Callbacks callbacks)
-    : m_clock(clock)
+KindWatcher::KindWatcher(const asio::any_io_executor &executor, const Clock &clock,
+                         DecisionLog &log, std::shared_ptr<ObjectSpace> space, std::string kind,
+                         milliseconds changeBound, Callbacks callbacks)
+    : m_executor(executor)
+    , m_clock(clock)
     , m_log(log)
     , m_space(std::move(space))
     , m_kind(std::move(kind))
     , m_callbacks(std::move(callbacks))
-    , m_lastResponse(clock.now())
+    , m_freshness(changeBound)
+    , m_created(clock.now())
+    , m_lastResponse(m_created)
 { }
 
 SteadyTime KindWatcher::lastContact() const
@@ -41,14 +55,67 @@
     return m_isWatching && m_failures == 0 ? m_clock.now() : m_lastResponse;
 }
 
+void KindWatcher::start()
+{
+    asio::co_spawn(m_executor, run(), asio::detached);
+}
+
 asio::awaitable<void> KindWatcher::run()
 {
-    for (;;) {
+    const int generation = m_generation;
+    while (generation == m_generation) {
         if (m_needsListing)
-            co_await listAll();
+            co_await listAll(generation);
         else
-            co_await watchOnce();
+            co_await watchOnce(generation);
+    }
+}
+
+void KindWatcher::restart(Restart how, std::string_view reason)
+{
+    m_log.warning("watch_restarted",
+                  {{"kind", m_kind}, {"revision", m_revision}, {"reason", reason}});
+    ++m_generation;
+    m_isWatching = false;
+    m_needsListing = m_needsListing || how == Restart::List;
+    m_freshness.recordRestart(m_clock.now());
+    start();
+}
+
+void KindWatcher::checkFreshness(std::size_t askRank)
+{
+    // While calls fail, they are retried anyway.
+    if (!m_hasListed || m_needsListing || m_failures > 0 || m_isAsking)
+        return;
+    const auto now = m_clock.now();
+    if (m_freshness.isBehind(m_callbacks.coalesceTime() + BehindMargin, now)) {
+        restart(Restart::List, "a peer knows a newer change");
+        return;
+    }
+    if (m_freshness.shouldAsk(askRank, now))
+        asio::co_spawn(m_executor, askForChanges(), asio::detached);
+}
+
+asio::awaitable<void> KindWatcher::askForChanges()
+{
+    m_isAsking = true;
+    const int generation = m_generation;
+    const auto asked = m_clock.now();
+    const auto changes = co_await m_space->changes(m_kind, m_revision, AskTimeout);
+    m_isAsking = false;
+    if (generation != m_generation)
+        co_return;
+    if (!isOk(changes)) {
+        restart(Restart::List, errorOf(changes).message);
+        co_return;
     }
+    m_lastResponse = m_clock.now();
+    m_freshness.recordResponse(valueOf(changes).revision, asked);
+    if (!valueOf(changes).events.empty()) {
+        applyChanges(valueOf(changes));
+        restart(Restart::Watch, "the open watch has not reported a change");
+    }
+    m_callbacks.confirmed();
 }
 
 void KindWatcher::noteResponse()
@@ -73,20 +140,23 @@
             m_lastResponse = m_clock.now();
         m_log.warning("store_lost", {{"kind", m_kind}, {"call", call}, {"reason", error.message}});
     }
-    const auto backoff = InitialBackoff
-            * (1U << static_cast<unsigned>(std::min(m_failures, MaxBackoffDoublings)));
+    const auto doublings = std::min(std::max(m_failures, m_watchFailures - 1), MaxBackoffDoublings);
+    const auto backoff = InitialBackoff * (1U << static_cast<unsigned>(doublings));
     ++m_failures;
     co_await sleepFor(std::min<milliseconds>(backoff, MaxBackoff));
 }
 
-asio::awaitable<void> KindWatcher::listAll()
+asio::awaitable<void> KindWatcher::listAll(int generation)
 {
+    const auto asked = m_clock.now();
     std::vector<SpaceObject> objects;
     std::uint64_t revision = 0;
     std::string after;
     for (;;) {
         std::string from = after;
         auto page = co_await m_space->list(m_kind, std::move(from), Freshness::Newest);
+        if (generation != m_generation)
+            co_return;
         if (!isOk(page)) {
             Error error = errorOf(page);
             co_await handleFailure(std::move(error), "list");
@@ -107,14 +177,19 @@
     m_revision = revision;
     m_hasListed = true;
     m_needsListing = false;
+    for (const SpaceObject &object : objects)
+        m_freshness.recordChange(object.revision);
+    m_freshness.recordResponse(revision, asked);
     m_callbacks.listed(objects);
 }
 
-asio::awaitable<void> KindWatcher::watchOnce()
+asio::awaitable<void> KindWatcher::watchOnce(int generation)
 {
     m_isWatching = true;
     const milliseconds wait = m_failures > 0 ? WatchTimeoutAfterFailure : WatchTimeout;
     const auto changes = co_await m_space->watch(m_kind, m_revision, wait);
+    if (generation != m_generation)
+        co_return;
     if (!isOk(changes)) {
         Error error = errorOf(changes);
         if (error.code == ErrorCode::NotFound) {
@@ -123,17 +198,29 @@
             m_isWatching = false;
             co_return;
         }
+        m_needsListing = ++m_watchFailures % WatchFailuresBeforeListing == 0;
         co_await handleFailure(std::move(error), "watch");
-        m_isWatching = false;
+        if (generation == m_generation)
+            m_isWatching = false;
         co_return;
     }
     noteResponse();
-    for (const SpaceEvent &event : valueOf(changes).events)
-        m_callbacks.changed(event);
-    m_revision = std::max(m_revision, valueOf(changes).revision);
+    m_watchFailures = 0;
+    m_freshness.recordResponse(valueOf(changes).revision, m_clock.now());
+    applyChanges(valueOf(changes));
     if (!valueOf(changes).events.empty())
         co_await sleepFor(m_callbacks.coalesceTime());
-    m_isWatching = false;
+    if (generation == m_generation)
+        m_isWatching = false;
+}
+
+void KindWatcher::applyChanges(const SpaceChanges &changes)
+{
+    for (const SpaceEvent &event : changes.events) {
+        m_freshness.recordChange(event.object.revision);
+        m_callbacks.changed(event);
+    }
+    m_revision = std::max(m_revision, changes.revision);
 }
 
 } // namespace pistachiofall
--- a/src/serving/kindwatcher.h
+++ b/src/serving/kindwatcher.h
@@ -3,20 +3,26 @@
 #include "base/clock.h"
 #include "base/decisionlog.h"
 #include "coord/coordtimes.h"
+#include "fleet/watchfreshness.h"
 #include "store/objectspace.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
 namespace pistachiofall {
 
 /// Watches the objects of one kind: lists them all, then watches for changes, and lists again when
-/// the store no longer keeps the changes since the last revision seen. Not thread safe.
+/// the store no longer keeps the changes since the last revision seen or watches keep failing. An
+/// open watch is not trusted: checkFreshness() opens a new one when this one stays silent about a
+/// change. Not thread safe.
 class KindWatcher
 {
 public:
@@ -30,41 +36,69 @@
         std::function<std::chrono::milliseconds()> coalesceTime;
         /// The store has responded again after an outage of at least 1 s (MinReportedOutage).
         std::function<void(std::chrono::milliseconds outage)> storeRecovered;
+        /// The store has confirmed, outside the watch, that there is no newer change or which.
+        std::function<void()> confirmed;
     };
 
-    KindWatcher(const Clock &clock, DecisionLog &log, std::shared_ptr<ObjectSpace> space,
-                std::string kind, Callbacks callbacks);
+    KindWatcher(const boost::asio::any_io_executor &executor, const Clock &clock, DecisionLog &log,
+                std::shared_ptr<ObjectSpace> space, std::string kind,
+                std::chrono::milliseconds changeBound, Callbacks callbacks);
 
-    /// Lists and watches; never returns.
-    boost::asio::awaitable<void> run();
+    /// Starts to list and to watch. Runs as long as the executor.
+    void start();
+
+    /// Asks the store for changes if the freshness calls for it, and opens a new watch if this
+    /// instance lags behind its peers. The rank is that of WatchFreshness::shouldAsk(). To be
+    /// called periodically.
+    void checkFreshness(std::size_t askRank);
 
     /// The last time when the store was known to be available: its last response, or now while a
     /// watch is open.
     SteadyTime lastContact() const;
-    /// The time of the last response of the store. Unlike lastContact(), an open watch does not
-    /// count, because a watch may stay open without ever being answered.
-    SteadyTime lastResponse() const { return m_lastResponse; }
+    /// The time as of which all changes are known, from the store or from a peer; the time of the
+    /// creation before the first response.
+    SteadyTime confirmedAt() const { return m_freshness.confirmedAt().value_or(m_created); }
     const std::string &kind() const { return m_kind; }
     /// Whether all objects have been listed at least once.
     bool hasListed() const { return m_hasListed; }
+    WatchFreshness &freshness() { return m_freshness; }
 
 private:
-    boost::asio::awaitable<void> listAll();
-    boost::asio::awaitable<void> watchOnce();
+    enum class Restart {
+        /// Goes on with a watch from the last known revision.
+        Watch,
+        /// Lists all objects first.
+        List,
+    };
+
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> listAll(int generation);
+    boost::asio::awaitable<void> watchOnce(int generation);
+    boost::asio::awaitable<void> askForChanges();
     boost::asio::awaitable<void> handleFailure(Error error, std::string_view call);
+    void applyChanges(const SpaceChanges &changes);
+    void restart(Restart how, std::string_view reason);
     void noteResponse();
 
+    boost::asio::any_io_executor m_executor;
     const Clock &m_clock;
     DecisionLog &m_log;
     std::shared_ptr<ObjectSpace> m_space;
     std::string m_kind;
     Callbacks m_callbacks;
+    WatchFreshness m_freshness;
+    SteadyTime m_created;
     std::uint64_t m_revision = 0;
+    /// Grows with each restart; calls of an earlier generation have no effect when they return.
+    int m_generation = 0;
     bool m_hasListed = false;
     bool m_needsListing = true;
     bool m_isWatching = false;
+    bool m_isAsking = false;
     SteadyTime m_lastResponse{};
+    /// Failed calls in a row, and failed watches without a successful one between them.
     int m_failures = 0;
+    int m_watchFailures = 0;
 };
 
 } // namespace pistachiofall
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -7,15 +7,12 @@
 #include "http/endpointclient.h"
 #include "http/httplistener.h"
 #include "serving/configholder.h"
-#include "serving/endpointwatcher.h"
 #include "serving/fleetpeers.h"
 #include "serving/ingress.h"
-#include "serving/instancedirectory.h"
 #include "serving/jobformat.h"
 #include "serving/jobrunner.h"
 #include "serving/jobservice.h"
-#include "serving/kindwatcher.h"
-#include "serving/retirementwatcher.h"
+#include "serving/storewatchers.h"
 #include "settings/loadfleetsettings.h"
 #include "wire/body.h"
 #include "wire/peerserver.h"
@@ -24,7 +21,6 @@
 #include <algorithm>
 #include <csignal>
 #include <random>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -55,10 +51,6 @@
 constexpr milliseconds PeerCallTimeout{500};
 // If the owner does not respond, the job is read from the store.
 constexpr milliseconds OwnerReadTimeout{300};
-constexpr milliseconds CoalesceTimePerInstance{12};
-constexpr milliseconds MinCoalesceTime{150};
-// One third of the shortest time within which a new configuration must be in force.
-constexpr milliseconds MaxCoalesceTime{700};
 // The load balancer removes an instance after two failed readiness probes, one second apart.
 constexpr milliseconds BalancerDrainTime{2300};
 // The part of the grace period kept in reserve, so that the process exits before the period ends.
@@ -98,7 +90,6 @@
     Result<Done> open(const SpaceFactory &spaceFactory);
     Result<Done> listen();
     void createServices();
-    void createWatchers();
     void start();
     ServingDependencies dependencies();
 
@@ -113,7 +104,6 @@
     bool handOver(const std::string &jobId);
     bool isReady() const;
     milliseconds storeAge() const;
-    milliseconds coalesceTime() const;
 
     asio::awaitable<wire::BodyUnion> handlePeer(const wire::EnvelopeT &envelope);
     asio::awaitable<void> handleReady(ServerExchange &exchange);
@@ -146,11 +136,7 @@
     std::unique_ptr<JobRunner> jobs;
     std::unique_ptr<JobService> jobService;
     std::unique_ptr<Ingress> ingress;
-    std::unique_ptr<EndpointWatcher> endpoints;
-    std::unique_ptr<InstanceDirectory> directory;
-    std::unique_ptr<RetirementWatcher> retirements;
-    std::vector<std::unique_ptr<KindWatcher>> watchers;
-    std::set<std::string> evacuated;
+    std::unique_ptr<StoreWatchers> watchers;
 
     std::unique_ptr<PeerServer> peerServer;
     std::shared_ptr<HttpListener> callerListener;
@@ -202,7 +188,9 @@
     space = valueOf(std::move(created));
     quotas.setSlack(settings.quotaSlack);
     createServices();
-    createWatchers();
+    const StoreWatchers::Targets targets{config, board, scheduler, peers};
+    watchers = std::make_unique<StoreWatchers>(context.get_executor(), clock, log, space, *protocol,
+                                               settings, targets);
     return listen();
 }
 
@@ -254,70 +242,6 @@
     peers.setCallbacks(std::move(peerCallbacks));
 }
 
-// Creates the watchers of the objects that operators, endpoints and instances write to the store.
-void ServingInstance::Data::createWatchers()
-{
-    const ObjectKinds names = protocol->objectKinds();
-    endpoints = std::make_unique<EndpointWatcher>(clock, log, *protocol, board,
-                                                  settings.lapsedEntryGrace,
-                                                  [this] { scheduler.scheduleUpdate(); });
-    directory = std::make_unique<InstanceDirectory>(log, space, peers);
-    const auto add = [this](const std::string &kind, KindWatcher::Callbacks callbacks) {
-        callbacks.coalesceTime = [this] { return coalesceTime(); };
-        if (!callbacks.storeRecovered)
-            callbacks.storeRecovered = [](milliseconds) {};
-        watchers.push_back(
-                std::make_unique<KindWatcher>(clock, log, space, kind, std::move(callbacks)));
-    };
-    KindWatcher::Callbacks configCallbacks;
-    configCallbacks.listed = [this, names](const std::vector<SpaceObject> &objects) {
-        for (const SpaceObject &object : objects) {
-            if (object.name == names.configName)
-                config.applyIfNewer(object.spec, "store");
-        }
-    };
-    configCallbacks.changed = [this, names](const SpaceEvent &event) {
-        if (event.object.name == names.configName && !event.isRemoved)
-            config.applyIfNewer(event.object.spec, "store");
-    };
-    add(names.configKind, std::move(configCallbacks));
-
-    KindWatcher::Callbacks endpointCallbacks;
-    endpointCallbacks.listed = [this](const std::vector<SpaceObject> &objects) {
-        endpoints->applyListing(objects);
-    };
-    endpointCallbacks.changed = [this](const SpaceEvent &event) { endpoints->applyEvent(event); };
-    endpointCallbacks.storeRecovered = [this](milliseconds) { endpoints->storeRecovered(); };
-    add(names.endpointKind, std::move(endpointCallbacks));
-
-    KindWatcher::Callbacks evacuationCallbacks;
-    const auto applyEvacuations = [this] {
-        log.info("evacuations_in_force", {{"domains", std::uint64_t{evacuated.size()}}});
-        board.setEvacuatedDomains(evacuated, clock.now());
-        scheduler.scheduleUpdate();
-    };
-    evacuationCallbacks.listed = [this, applyEvacuations](const std::vector<SpaceObject> &objects) {
-        evacuated.clear();
-        for (const SpaceObject &object : objects)
-            evacuated.insert(object.name);
-        applyEvacuations();
-    };
-    evacuationCallbacks.changed = [this, applyEvacuations](const SpaceEvent &event) {
-        if (event.isRemoved)
-            evacuated.erase(event.object.name);
-        else
-            evacuated.insert(event.object.name);
-        applyEvacuations();
-    };
-    add(names.evacuationKind, std::move(evacuationCallbacks));
-    add(InstanceDirectory::Kind, directory->callbacks());
-    if (!settings.callers) {
-        retirements = std::make_unique<RetirementWatcher>(log, space, *protocol, settings.name,
-                                                          context.get_executor());
-        add(names.retirementKind, retirements->callbacks());
-    }
-}
-
 Result<Done> ServingInstance::Data::listen()
 {
     const auto executor = context.get_executor();
@@ -360,9 +284,7 @@
 
 void ServingInstance::Data::start()
 {
-    for (const auto &watcher : watchers)
-        asio::co_spawn(context, watcher->run(), asio::detached);
-    asio::co_spawn(context, directory->registerSelf(), asio::detached);
+    watchers->start();
     peers.start(settings.seeds);
     // Callers may connect to any instance, so a job need not be run by the instance that they read
     // from. An instance without callers adopts jobs only if adopters() finds no other instance.
@@ -389,6 +311,7 @@
 
 void ServingInstance::Data::peerReported(const std::string &peer, const wire::FleetReportT &report)
 {
+    watchers->handleReport(report);
     std::map<std::string, EndpointUsage> use;
     for (const auto &each : report.endpoints)
         use[each->endpoint] = {each->online, each->batch};
@@ -421,6 +344,7 @@
 {
     report.configVersion = config.version();
     report.storeAgeMs = static_cast<std::uint32_t>(storeAge().count());
+    watchers->fillReport(report);
     for (const auto &[id, use] : board.localUsage()) {
         auto entry = std::make_unique<wire::EndpointUseT>();
         entry->endpoint = id;
@@ -444,21 +368,10 @@
 
 milliseconds ServingInstance::Data::storeAge() const
 {
-    auto newest = jobStore->lastResponse();
-    for (const auto &watcher : watchers)
-        newest = std::max(newest, watcher->lastContact());
+    const auto newest = std::max(jobStore->lastResponse(), watchers->lastContact());
     return std::max(milliseconds{0}, duration_cast<milliseconds>(clock.now() - newest));
 }
 
-// Endpoints and instances that start together cause many changes within a second, and each response
-// to a watch costs one further call from each instance. The time therefore grows with the fleet.
-milliseconds ServingInstance::Data::coalesceTime() const
-{
-    const auto members = static_cast<std::int64_t>(peers.memberNames().size());
-    return std::clamp<milliseconds>(CoalesceTimePerInstance * members, MinCoalesceTime,
-                                    MaxCoalesceTime);
-}
-
 // The owner has the form "name/incarnation".
 bool ServingInstance::Data::isOwnerAlive(const std::string &owner) const
 {
@@ -630,10 +543,7 @@
 {
     metrics.gauge("config_version").set(static_cast<std::int64_t>(config.version()));
     metrics.gauge("store_age_ms").set(storeAge().count());
-    for (const auto &watcher : watchers) {
-        const auto age = duration_cast<milliseconds>(clock.now() - watcher->lastResponse());
-        metrics.gauge("watch_age_ms", {{"kind", watcher->kind()}}).set(age.count());
-    }
+    watchers->updateMetrics(metrics);
     metrics.gauge("peers_alive").set(static_cast<std::int64_t>(peers.aliveNames().size()));
     metrics.gauge("jobs_owned").set(static_cast<std::int64_t>(jobs->jobCount()));
     HttpHeaders headers{{"Content-Type", "text/plain; version=0.0.4"}};
@@ -646,7 +556,7 @@
     bool wasReady = false;
     for (;;) {
         co_await sleepFor(TickInterval);
-        endpoints->removeExpired();
+        watchers->tick();
         quotas.setHistoryKnown(
                 peers.hasPeerWithUptimeAbove(settings.quotaWindow + QuotaMemoryMargin),
                 clock.now());
--- /dev/null
+++ b/src/serving/storewatchers.cpp
@@ -0,0 +1,201 @@
+#include "serving/storewatchers.h"
+
+#include "base/stablehash.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace pistachiofall {
+
+namespace asio = boost::asio;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds CoalesceTimePerInstance{12};
+constexpr milliseconds MinCoalesceTime{150};
+// One third of the shortest time within which a new configuration must be in force.
+constexpr milliseconds MaxCoalesceTime{700};
+
+std::unique_ptr<wire::WatchMark> encodeMark(const WatchMark &mark)
+{
+    const auto most = std::numeric_limits<std::uint32_t>::max();
+    const auto age = std::min<std::int64_t>(mark.confirmedAge.count(), most);
+    return std::make_unique<wire::WatchMark>(mark.newestChange, static_cast<std::uint32_t>(age));
+}
+
+} // namespace
+
+StoreWatchers::StoreWatchers(const asio::any_io_executor &executor, const Clock &clock,
+                             DecisionLog &log, std::shared_ptr<ObjectSpace> space,
+                             const ServingProtocol &protocol, const FleetSettings &settings,
+                             Targets targets)
+    : m_executor(executor)
+    , m_clock(clock)
+    , m_log(log)
+    , m_space(std::move(space))
+    , m_protocol(protocol)
+    , m_changeBound(settings.changeBound)
+    , m_targets(targets)
+    , m_endpoints(clock, log, protocol, targets.endpoints, settings.lapsedEntryGrace,
+                  [this] { m_targets.scheduler.scheduleUpdate(); })
+    , m_directory(log, m_space, targets.peers)
+{
+    addConfigWatcher();
+    addEndpointWatcher();
+    addEvacuationWatcher();
+    add(InstanceDirectory::Kind, m_directory.callbacks());
+    if (!settings.callers) {
+        m_retirements = std::make_unique<RetirementWatcher>(log, m_space, protocol, settings.name,
+                                                            executor);
+        add(protocol.objectKinds().retirementKind, m_retirements->callbacks());
+    }
+}
+
+KindWatcher &StoreWatchers::add(const std::string &kind, KindWatcher::Callbacks callbacks)
+{
+    callbacks.coalesceTime = [this] { return coalesceTime(); };
+    if (!callbacks.storeRecovered)
+        callbacks.storeRecovered = [](milliseconds) {};
+    // Peers learn soon that they need not ask the store themselves.
+    callbacks.confirmed = [this] { m_targets.peers.noteUsageChange(); };
+    m_watchers.push_back(std::make_unique<KindWatcher>(m_executor, m_clock, m_log, m_space, kind,
+                                                       m_changeBound, std::move(callbacks)));
+    return *m_watchers.back();
+}
+
+void StoreWatchers::addConfigWatcher()
+{
+    const ObjectKinds names = m_protocol.objectKinds();
+    KindWatcher::Callbacks callbacks;
+    callbacks.listed = [this, names](const std::vector<SpaceObject> &objects) {
+        for (const SpaceObject &object : objects) {
+            if (object.name == names.configName)
+                m_targets.config.applyIfNewer(object.spec, "store");
+        }
+    };
+    callbacks.changed = [this, names](const SpaceEvent &event) {
+        if (event.object.name == names.configName && !event.isRemoved)
+            m_targets.config.applyIfNewer(event.object.spec, "store");
+    };
+    m_shared[ConfigWatch] = &add(names.configKind, std::move(callbacks));
+}
+
+void StoreWatchers::addEndpointWatcher()
+{
+    KindWatcher::Callbacks callbacks;
+    callbacks.listed = [this](const std::vector<SpaceObject> &objects) {
+        m_endpoints.applyListing(objects);
+    };
+    callbacks.changed = [this](const SpaceEvent &event) { m_endpoints.applyEvent(event); };
+    callbacks.storeRecovered = [this](milliseconds) { m_endpoints.storeRecovered(); };
+    m_shared[EndpointWatch] = &add(m_protocol.objectKinds().endpointKind, std::move(callbacks));
+}
+
+void StoreWatchers::addEvacuationWatcher()
+{
+    KindWatcher::Callbacks callbacks;
+    callbacks.listed = [this](const std::vector<SpaceObject> &objects) {
+        m_evacuated.clear();
+        for (const SpaceObject &object : objects)
+            m_evacuated.insert(object.name);
+        applyEvacuations();
+    };
+    callbacks.changed = [this](const SpaceEvent &event) {
+        if (event.isRemoved)
+            m_evacuated.erase(event.object.name);
+        else
+            m_evacuated.insert(event.object.name);
+        applyEvacuations();
+    };
+    m_shared[EvacuationWatch] = &add(m_protocol.objectKinds().evacuationKind, std::move(callbacks));
+}
+
+void StoreWatchers::applyEvacuations()
+{
+    m_log.info("evacuations_in_force", {{"domains", std::uint64_t{m_evacuated.size()}}});
+    m_targets.endpoints.setEvacuatedDomains(m_evacuated, m_clock.now());
+    m_targets.scheduler.scheduleUpdate();
+}
+
+void StoreWatchers::start()
+{
+    for (const auto &watcher : m_watchers)
+        watcher->start();
+    asio::co_spawn(m_executor, m_directory.registerSelf(), asio::detached);
+}
+
+void StoreWatchers::tick()
+{
+    m_endpoints.removeExpired();
+    for (KindWatcher *watcher : m_shared)
+        watcher->checkFreshness(askRank(watcher->kind()));
+}
+
+// Endpoints and instances that start together cause many changes within a second, and each response
+// to a watch costs one further call from each instance. The time therefore grows with the fleet.
+milliseconds StoreWatchers::coalesceTime() const
+{
+    const auto members = static_cast<std::int64_t>(m_targets.peers.memberNames().size());
+    return std::clamp<milliseconds>(CoalesceTimePerInstance * members, MinCoalesceTime,
+                                    MaxCoalesceTime);
+}
+
+// The number of instances that ask the store about the kind before this one, among those that hear
+// of each other's results soon. Rendezvous hashing spreads the kinds over the instances.
+std::size_t StoreWatchers::askRank(const std::string &kind) const
+{
+    const std::uint64_t own = rendezvousRank(kind, m_targets.peers.self().name);
+    const auto close = m_targets.peers.closePeers();
+    return static_cast<std::size_t>(
+            std::count_if(close.begin(), close.end(), [&](const std::string &name) {
+                return rendezvousRank(kind, name) < own;
+            }));
+}
+
+void StoreWatchers::fillReport(wire::FleetReportT &report) const
+{
+    const auto now = m_clock.now();
+    report.configMark = encodeMark(m_shared[ConfigWatch]->freshness().mark(now));
+    report.endpointMark = encodeMark(m_shared[EndpointWatch]->freshness().mark(now));
+    report.evacuationMark = encodeMark(m_shared[EvacuationWatch]->freshness().mark(now));
+}
+
+void StoreWatchers::handleReport(const wire::FleetReportT &report)
+{
+    const std::array<const wire::WatchMark *, SharedWatchCount> marks{
+            report.configMark.get(), report.endpointMark.get(), report.evacuationMark.get()};
+    for (std::size_t watch = 0; watch < SharedWatchCount; ++watch) {
+        // Instances of an earlier version report no marks.
+        if (marks[watch] != nullptr)
+            m_shared[watch]->freshness().recordPeer(
+                    {marks[watch]->newestChange(), milliseconds{marks[watch]->confirmedAgeMs()}},
+                    m_clock.now());
+    }
+}
+
+SteadyTime StoreWatchers::lastContact() const
+{
+    SteadyTime newest{};
+    for (const auto &watcher : m_watchers)
+        newest = std::max(newest, watcher->lastContact());
+    return newest;
+}
+
+void StoreWatchers::updateMetrics(MetricsRegistry &metrics) const
+{
+    const auto now = m_clock.now();
+    for (const KindWatcher *watcher : m_shared) {
+        const auto age = duration_cast<milliseconds>(now - watcher->confirmedAt());
+        metrics.gauge("watch_age_ms", {{"kind", watcher->kind()}}).set(age.count());
+    }
+    const auto age = duration_cast<milliseconds>(now - m_shared[ConfigWatch]->confirmedAt());
+    metrics.gauge("config_age_ms").set(age.count());
+}
+
+} // namespace pistachiofall
--- a/src/settings/fleetsettings.h
+++ b/src/settings/fleetsettings.h
@@ -36,6 +36,8 @@
     int quotaSlack = 0;
     /// The time between SIGTERM and the kill of the process.
     std::chrono::milliseconds stopGrace{8000};
+    /// The time within which a change by an operator or an endpoint must be known everywhere.
+    std::chrono::milliseconds changeBound{2000};
     /// How long an endpoint whose entry expired during a store outage may be missing after the
     /// store is available again.
     std::chrono::milliseconds lapsedEntryGrace{2000};
--- a/src/settings/loadfleetsettings.cpp
+++ b/src/settings/loadfleetsettings.cpp
@@ -84,6 +84,7 @@
     fleet.milliseconds("quota_window_ms", 100, MaxMilliseconds, settings.quotaWindow);
     fleet.integer("quota_slack", 0, 1'000'000, settings.quotaSlack);
     fleet.milliseconds("stop_grace_ms", 100, MaxMilliseconds, settings.stopGrace);
+    fleet.milliseconds("change_bound_ms", 100, MaxMilliseconds, settings.changeBound);
     fleet.milliseconds("lapsed_entry_grace_ms", 0, MaxMilliseconds, settings.lapsedEntryGrace);
     fleet.rejectUnknownKeys();
     if (!errors.isEmpty())
--- a/src/store/objectspace.h
+++ b/src/store/objectspace.h
@@ -84,6 +84,10 @@
     /// store does not know the changes since that revision anymore.
     virtual Async<SpaceChanges> watch(std::string kind, std::uint64_t revision,
                                       std::chrono::milliseconds wait) = 0;
+    /// The changes after the revision that there are now. TimedOut without an answer within the
+    /// timeout, NotFound as for a watch.
+    virtual Async<SpaceChanges> changes(std::string kind, std::uint64_t revision,
+                                        std::chrono::milliseconds timeout) = 0;
 };
 
 } // namespace pistachiofall
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -136,6 +136,8 @@
 struct FleetMemberBuilder;
 struct FleetMemberT;
 
+struct WatchMark;
+
 struct FleetReport;
 struct FleetReportBuilder;
 struct FleetReportT;
@@ -1010,6 +1012,39 @@
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) WatchMark FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t newestChange_;
+  uint32_t confirmedAgeMs_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  WatchMark()
+      : newestChange_(0),
+        confirmedAgeMs_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  WatchMark(uint64_t _newestChange, uint32_t _confirmedAgeMs)
+      : newestChange_(flatbuffers::EndianScalar(_newestChange)),
+        confirmedAgeMs_(flatbuffers::EndianScalar(_confirmedAgeMs)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t newestChange() const {
+    return flatbuffers::EndianScalar(newestChange_);
+  }
+  uint32_t confirmedAgeMs() const {
+    return flatbuffers::EndianScalar(confirmedAgeMs_);
+  }
+};
+FLATBUFFERS_STRUCT_END(WatchMark, 16);
+
+struct WatchMark::Traits {
+  using type = WatchMark;
+};
+
 struct PingT : public flatbuffers::NativeTable {
   typedef Ping TableType;
 };
@@ -3791,6 +3826,9 @@
   std::vector<std::unique_ptr<pistachiofall::wire::EndpointUseT>> endpoints{};
   std::vector<std::unique_ptr<pistachiofall::wire::OrganisationUseT>> organisations{};
   std::vector<std::unique_ptr<pistachiofall::wire::ServiceQueueT>> queues{};
+  std::unique_ptr<pistachiofall::wire::WatchMark> configMark{};
+  std::unique_ptr<pistachiofall::wire::WatchMark> endpointMark{};
+  std::unique_ptr<pistachiofall::wire::WatchMark> evacuationMark{};
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3811,7 +3849,10 @@
     VT_LEAVING = 16,
     VT_ENDPOINTS = 18,
     VT_ORGANISATIONS = 20,
-    VT_QUEUES = 22
+    VT_QUEUES = 22,
+    VT_CONFIGMARK = 24,
+    VT_ENDPOINTMARK = 26,
+    VT_EVACUATIONMARK = 28
   };
   const pistachiofall::wire::FleetMember *sender() const {
     return GetPointer<const pistachiofall::wire::FleetMember *>(VT_SENDER);
@@ -3843,6 +3884,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *queues() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *>(VT_QUEUES);
   }
+  const pistachiofall::wire::WatchMark *configMark() const {
+    return GetStruct<const pistachiofall::wire::WatchMark *>(VT_CONFIGMARK);
+  }
+  const pistachiofall::wire::WatchMark *endpointMark() const {
+    return GetStruct<const pistachiofall::wire::WatchMark *>(VT_ENDPOINTMARK);
+  }
+  const pistachiofall::wire::WatchMark *evacuationMark() const {
+    return GetStruct<const pistachiofall::wire::WatchMark *>(VT_EVACUATIONMARK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -3862,6 +3912,9 @@
            VerifyOffset(verifier, VT_QUEUES) &&
            verifier.VerifyVector(queues()) &&
            verifier.VerifyVectorOfTables(queues()) &&
+           VerifyField<pistachiofall::wire::WatchMark>(verifier, VT_CONFIGMARK, 8) &&
+           VerifyField<pistachiofall::wire::WatchMark>(verifier, VT_ENDPOINTMARK, 8) &&
+           VerifyField<pistachiofall::wire::WatchMark>(verifier, VT_EVACUATIONMARK, 8) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3903,6 +3956,15 @@
   void add_queues(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> queues) {
     fbb_.AddOffset(FleetReport::VT_QUEUES, queues);
   }
+  void add_configMark(const pistachiofall::wire::WatchMark *configMark) {
+    fbb_.AddStruct(FleetReport::VT_CONFIGMARK, configMark);
+  }
+  void add_endpointMark(const pistachiofall::wire::WatchMark *endpointMark) {
+    fbb_.AddStruct(FleetReport::VT_ENDPOINTMARK, endpointMark);
+  }
+  void add_evacuationMark(const pistachiofall::wire::WatchMark *evacuationMark) {
+    fbb_.AddStruct(FleetReport::VT_EVACUATIONMARK, evacuationMark);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3925,11 +3987,17 @@
     bool leaving = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>>> endpoints = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>>> organisations = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> queues = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> queues = 0,
+    const pistachiofall::wire::WatchMark *configMark = nullptr,
+    const pistachiofall::wire::WatchMark *endpointMark = nullptr,
+    const pistachiofall::wire::WatchMark *evacuationMark = nullptr) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configVersion(configVersion);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_evacuationMark(evacuationMark);
+  builder_.add_endpointMark(endpointMark);
+  builder_.add_configMark(configMark);
   builder_.add_queues(queues);
   builder_.add_organisations(organisations);
   builder_.add_endpoints(endpoints);
@@ -3956,7 +4024,10 @@
     bool leaving = false,
     const std::vector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>> *endpoints = nullptr,
     const std::vector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>> *organisations = nullptr,
-    const std::vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *queues = nullptr) {
+    const std::vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *queues = nullptr,
+    const pistachiofall::wire::WatchMark *configMark = nullptr,
+    const pistachiofall::wire::WatchMark *endpointMark = nullptr,
+    const pistachiofall::wire::WatchMark *evacuationMark = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>>(*organisations) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*queues) : 0;
@@ -3971,7 +4042,10 @@
       leaving,
       endpoints__,
       organisations__,
-      queues__);
+      queues__,
+      configMark,
+      endpointMark,
+      evacuationMark);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5730,7 +5804,10 @@
         configVersion(o.configVersion),
         uptimeMs(o.uptimeMs),
         storeAgeMs(o.storeAgeMs),
-        leaving(o.leaving) {
+        leaving(o.leaving),
+        configMark((o.configMark) ? new pistachiofall::wire::WatchMark(*o.configMark) : nullptr),
+        endpointMark((o.endpointMark) ? new pistachiofall::wire::WatchMark(*o.endpointMark) : nullptr),
+        evacuationMark((o.evacuationMark) ? new pistachiofall::wire::WatchMark(*o.evacuationMark) : nullptr) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new pistachiofall::wire::EndpointUseT(*endpoints_) : nullptr); }
   organisations.reserve(o.organisations.size());
@@ -5750,6 +5827,9 @@
   std::swap(endpoints, o.endpoints);
   std::swap(organisations, o.organisations);
   std::swap(queues, o.queues);
+  std::swap(configMark, o.configMark);
+  std::swap(endpointMark, o.endpointMark);
+  std::swap(evacuationMark, o.evacuationMark);
   return *this;
 }
 
@@ -5772,6 +5852,9 @@
   { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<pistachiofall::wire::EndpointUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = organisations(); if (_e) { _o->organisations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->organisations[_i] = std::unique_ptr<pistachiofall::wire::OrganisationUseT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = queues(); if (_e) { _o->queues.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->queues[_i] = std::unique_ptr<pistachiofall::wire::ServiceQueueT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = configMark(); if (_e) _o->configMark = std::unique_ptr<pistachiofall::wire::WatchMark>(new pistachiofall::wire::WatchMark(*_e)); }
+  { auto _e = endpointMark(); if (_e) _o->endpointMark = std::unique_ptr<pistachiofall::wire::WatchMark>(new pistachiofall::wire::WatchMark(*_e)); }
+  { auto _e = evacuationMark(); if (_e) _o->evacuationMark = std::unique_ptr<pistachiofall::wire::WatchMark>(new pistachiofall::wire::WatchMark(*_e)); }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5792,6 +5875,9 @@
   auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointUse(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _organisations = _o->organisations.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>> (_o->organisations.size(), [](size_t i, _VectorArgs *__va) { return CreateOrganisationUse(*__va->__fbb, __va->__o->organisations[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _queues = _o->queues.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> (_o->queues.size(), [](size_t i, _VectorArgs *__va) { return CreateServiceQueue(*__va->__fbb, __va->__o->queues[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _configMark = _o->configMark ? _o->configMark.get() : nullptr;
+  auto _endpointMark = _o->endpointMark ? _o->endpointMark.get() : nullptr;
+  auto _evacuationMark = _o->evacuationMark ? _o->evacuationMark.get() : nullptr;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       _sender,
@@ -5803,7 +5889,10 @@
       _leaving,
       _endpoints,
       _organisations,
-      _queues);
+      _queues,
+      _configMark,
+      _endpointMark,
+      _evacuationMark);
 }
 
 inline FleetReportReplyT::FleetReportReplyT(const FleetReportReplyT &o)
--- a/tests/serving/memoryspace.h
+++ b/tests/serving/memoryspace.h
@@ -83,6 +83,11 @@
         co_return SpaceChanges{};
     }
 
+    Async<SpaceChanges> changes(std::string, std::uint64_t, std::chrono::milliseconds) override
+    {
+        co_return SpaceChanges{};
+    }
+
 private:
     bool isTooLarge(const SpaceObject &object) const
     {
