Check the service of a batch item again after it waited

What callers see: an item runs at the service of an older configuration, after a newer one is in force at the same instance.

Cause: the item gets its endpoint from the configuration, then its job may be read from the store for seconds, and it is sent by the old decision. The same holds for an endpoint that begins to drain or is evacuated meanwhile.

Evidence: FleetServe ItemFollowsAConfigurationThatCameWhileItWaited, with a store whose reads take 1.2 s, found the item at the old service before (item-0 at i-1).

Change: after the wait the route, the service and the endpoint are checked against what is in force; an item that no longer fits is placed anew. The same cause was looked for in online requests: they are sent as soon as they get their slot, and a retry asks for a slot anew.

--- a/src/fleet/endpointpool.cpp
+++ b/src/fleet/endpointpool.cpp
@@ -347,6 +347,13 @@
     return freeSlots;
 }
 
+bool EndpointPool::accepts(const std::string &id, const std::string &service) const
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && found->second.endpoint.service == service
+            && isServing(found->second);
+}
+
 int EndpointPool::endpointCount(const std::string &service,
                                 const std::set<std::string> &excluded) const
 {
--- a/src/fleet/endpointpool.h
+++ b/src/fleet/endpointpool.h
@@ -76,6 +76,8 @@
     /// that have no online request.
     int slotCount(const std::string &service, SteadyTime now) const;
     int availableOnlineSlots(const std::string &service, SteadyTime now) const;
+    /// Whether the endpoint is in the pool, of that service and accepts requests.
+    bool accepts(const std::string &id, const std::string &service) const;
     /// Returns how many endpoints of the service accept requests, including those that are in
     /// backoff after failures.
     int endpointCount(const std::string &service, const std::set<std::string> &excluded = {}) const;
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -119,6 +119,14 @@
     m_isStartingItems = false;
 }
 
+// The service that the configuration in force sends the item to; empty without a route.
+std::string JobRunner::serviceFor(const JobRecord &record, const JobItem &item) const
+{
+    const ServingConfig::Ptr config = m_callbacks.config();
+    const ServingRoute *route = config ? config->findRoute(record.host, item.path) : nullptr;
+    return route == nullptr ? std::string() : std::string(chooseService(*route, item.id));
+}
+
 // Starts one item, or finishes it as dead if it cannot run. Returns false if there is no free slot.
 bool JobRunner::placeItem(const JobPtr &job, std::size_t index, const ServingConfig &config)
 {
@@ -160,8 +168,11 @@
 asio::awaitable<void> JobRunner::runItem(JobPtr job, std::size_t index, Placement placement)
 {
     const auto begin = m_dependencies.clock.now();
-    const bool mayStart = co_await confirmOwnership(job);
-    if (mayStart)
+    const bool isConfirmed = co_await confirmOwnership(job);
+    // While the job was read, another configuration may have come into force, or the endpoint may
+    // have begun to drain.
+    const std::string service = serviceFor(job->record, job->items[index]);
+    if (isConfirmed && m_dependencies.board.accepts(placement.endpoint.id, service))
         co_await callEndpoint(job, index, placement);
     ItemProgress &progress = job->progress[index];
     progress.call.reset();
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -79,6 +79,7 @@
     /// Orders jobs by due time, then by id.
     using DueOrderKey = std::tuple<SteadyTime, std::string>;
 
+    std::string serviceFor(const JobRecord &record, const JobItem &item) const;
     bool placeItem(const JobPtr &job, std::size_t index, const ServingConfig &config);
     void finishAsDead(const JobPtr &job, std::size_t index, std::string_view reason);
     boost::asio::awaitable<void> runItem(JobPtr job, std::size_t index, Placement placement);
--- a/standins/common/spacestore.cpp
+++ b/standins/common/spacestore.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t MostChanges = 10'000;
 // Longer than any test.
 constexpr std::chrono::minutes MutedTime{10};
+constexpr std::chrono::milliseconds SlowReadTime{1200};
 
 std::uint64_t revisionOf(const json::object &object)
 {
@@ -90,6 +91,8 @@
     if (method == "GET" && name.empty()) {
         result = listing(kind);
     } else if (method == "GET") {
+        if (m_fault == "slow-reads")
+            co_await pause(SlowReadTime);
         const auto found = m_objects.find(key);
         status = found == m_objects.end() ? 404 : 200;
         if (status == 200)
--- a/standins/common/spacestore.h
+++ b/standins/common/spacestore.h
@@ -24,6 +24,7 @@
 /// - down: every call gets 503;
 /// - lose: writes that are done are not answered;
 /// - refuse-watches: watches get 503, all other calls work;
+/// - slow-reads: reads of one object take 1.2 s;
 /// - garble-watches: the answers to watches that report a change can not be read.
 /// POST /control/mute leaves the watches that are open now without an answer for good, with their
 /// connections open; later watches work.
--- a/tests/fleet/endpointpooltest.cpp
+++ b/tests/fleet/endpointpooltest.cpp
@@ -197,3 +197,17 @@
     std::printf("waiting %d of 50\n", waiting);
     CHECK(waiting <= 5);
 }
+
+// Guards against a request that waited and then goes to an endpoint that has begun to drain, has
+// gone, or belongs to another service.
+TEST(EndpointPool, AcceptsOnlyForItsServiceWhileItServes)
+{
+    pool.update(chatEndpoint("e1", 2), now);
+    CHECK(pool.accepts("e1", "chat"));
+    CHECK_FALSE(pool.accepts("e1", "desk"));
+    CHECK_FALSE(pool.accepts("e2", "chat"));
+    FleetEndpoint draining = chatEndpoint("e1", 2);
+    draining.isDraining = true;
+    pool.update(draining, now);
+    CHECK_FALSE(pool.accepts("e1", "chat"));
+}
--- a/tests/system/fleetservetest.cpp
+++ b/tests/system/fleetservetest.cpp
@@ -249,6 +249,33 @@
     CHECK(served <= 53);
 }
 
+// Guards against a batch item that is sent by a decision made before a configuration which came
+// into force while the item waited for the store.
+TEST(FleetServe, ItemFollowsAConfigurationThatCameWhileItWaited)
+{
+    SpaceFleet fleet(1);
+    fleet.startEndpoint("i-1", {"--event-gap-ms", "100"}, 1);
+    fleet.startEndpoint("i-2", {}, 1, "desk");
+    fleet.writeConfig(1, {"key-1"});
+    fleet.startInstance(0);
+    CHECK(fleet.waitReady(0));
+    std::thread caller([&fleet] { fleet.call(0, "POST", "/talk/stream/x", "r1", "hello"); });
+    CHECK(waitUntil(seconds{2}, [&] { return fleet.seen("i-1") == "r1=1\n"; }));
+    CHECK_EQUAL(202U, fleet.call(0, "POST", "/batch/j", "job-1", job(1)).status);
+    fleet.setStore("slow-reads");
+    // The item gets the slot of the stream, and the job is read again before the item starts.
+    caller.join();
+    std::this_thread::sleep_for(milliseconds{400});
+    fleet.setBatchService("desk");
+    fleet.writeConfig(2, {"key-1"});
+    CHECK(waitUntil(seconds{1}, [&] { return fleet.metric(0, "config_version") == 2; }));
+    STRCMP_EQUAL("r1=1\n", fleet.seen("i-1").c_str());
+    fleet.setStore("ok");
+    CHECK(isDone(fleet, 0, 1));
+    STRCMP_EQUAL("r1=1\n", fleet.seen("i-1").c_str());
+    STRCMP_EQUAL("item-0=1\n", fleet.seen("i-2").c_str());
+}
+
 // Guards against a planned stop that cuts requests.
 TEST(FleetServe, PlannedStopCutsNothing)
 {
--- a/tests/system/spacefleet.cpp
+++ b/tests/system/spacefleet.cpp
@@ -30,12 +30,14 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-std::string route(const std::string &name, const std::string &kind, int attempts, bool isResumable)
+std::string route(const std::string &name, const std::string &kind, int attempts, bool isResumable,
+                  const std::string &service = "chat")
 {
     return R"({"name":")" + name + R"(","host":"desk.example","path_prefix":"/)" + name
             + R"(/","kind":")" + kind
-            + R"(","timeout_ms":8000,"slo_ms":500,"priority":0,"service":"chat","attempts":)"
-            + std::to_string(attempts) + R"(,"resumable":)" + (isResumable ? "true" : "false")
+            + R"(","timeout_ms":8000,"slo_ms":500,"priority":0,"service":")" + service
+            + R"(","attempts":)" + std::to_string(attempts) + R"(,"resumable":)"
+            + (isResumable ? "true" : "false")
             + R"(,"gap_aim_ms":400,"due_ms":18000,"retention_s":60})";
 }
 
@@ -89,20 +91,21 @@
 }
 
 void SpaceFleet::startEndpoint(const std::string &id, const std::vector<std::string> &arguments,
-                               int slots)
+                               int slots, const std::string &service)
 {
     std::vector<std::string> all{"--id", id};
     all.insert(all.end(), arguments.begin(), arguments.end());
     m_endpoints[id] = std::make_unique<ChildProcess>("standin_sealedengine", all);
     m_endpointPorts[id] = announcedPort(*m_endpoints[id]);
     m_endpointSlots[id] = slots;
+    m_endpointServices[id] = service;
     store("POST", "/api/objects/servers", endpointEntry(id, "ready"));
 }
 
 std::string SpaceFleet::endpointEntry(const std::string &id, const std::string &state)
 {
-    return R"({"metadata":{"name":")" + id + R"("},"spec":{"service":"chat","address":")"
-            + address(m_endpointPorts[id]) + R"(","zone":"east-a","slots":)"
+    return R"({"metadata":{"name":")" + id + R"("},"spec":{"service":")" + m_endpointServices[id]
+            + R"(","address":")" + address(m_endpointPorts[id]) + R"(","zone":"east-a","slots":)"
             + std::to_string(m_endpointSlots[id]) + R"(,"state":")" + state
             + R"(","cold_left_ms":0}})";
 }
@@ -143,7 +146,7 @@
     const std::string object = R"({"metadata":{"name":"main"},"spec":{"version":)"
             + std::to_string(version) + R"(,"routes":[)" + route("plain", "safe", 2, false) + ","
             + route("once", "unsafe", 2, false) + "," + route("talk", "stream", 3, true) + ","
-            + route("batch", "batch", 3, true) + extra
+            + route("batch", "batch", 3, true, m_batchService) + extra
             + R"(],"services":[{"name":"chat","health_path":"/health","cold_per_s":0}],)"
             + R"("tenants":[{"name":"acme","api_keys":[)" + list + R"(],"rate_per_s":)"
             + std::to_string(rate) + R"(,"burst":)" + std::to_string(burst) + "}]}}";
--- a/tests/system/spacefleet.h
+++ b/tests/system/spacefleet.h
@@ -29,9 +29,9 @@
     SpaceFleet(const SpaceFleet &) = delete;
     SpaceFleet &operator=(const SpaceFleet &) = delete;
 
-    /// Starts an endpoint and registers it for the service "chat".
+    /// Starts an endpoint and registers it for the service.
     void startEndpoint(const std::string &id, const std::vector<std::string> &arguments = {},
-                       int slots = 4);
+                       int slots = 4, const std::string &service = "chat");
     /// What the endpoint says of the requests that it ran, one "ID=COUNT" a line.
     std::string seen(const std::string &id);
     void cutNextStream(const std::string &id, int afterEvents);
@@ -44,6 +44,8 @@
     /// the rate and the burst.
     void writeConfig(int version, const std::vector<std::string> &keys, int rate = 1000,
                      int burst = 1000);
+    /// The service of the route for batch jobs in each further configuration.
+    void setBatchService(const std::string &service) { m_batchService = service; }
     /// The number of routes that each further configuration has in addition.
     void setExtraRoutes(int count) { m_extraRoutes = count; }
     void setStore(const std::string &mode);
@@ -92,6 +94,8 @@
     std::map<std::string, std::unique_ptr<ChildProcess>> m_endpoints;
     std::map<std::string, std::uint16_t> m_endpointPorts;
     std::map<std::string, int> m_endpointSlots;
+    std::map<std::string, std::string> m_endpointServices;
+    std::string m_batchService = "chat";
     int m_extraRoutes = 0;
     bool m_hasConfig = false;
 };
