--- a/standins/common/sealedengine.cpp
+++ b/standins/common/sealedengine.cpp
@@ -2,6 +2,7 @@
 
 #include "common/pause.h"
 
+#include <cstdlib>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -14,11 +15,7 @@
 
 namespace {
 
-std::string headOf(const std::string &requestId, const std::string &fields)
-{
-    return "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nReply-Seal: seal-" + requestId
-            + "\r\n" + fields + "\r\n";
-}
+constexpr std::size_t EndlessPieceBytes = 1024;
 
 std::string chunkOf(const std::string &text)
 {
@@ -48,59 +45,162 @@
     co_return !error;
 }
 
-asio::awaitable<void> SealedEngine::handle(HttpExchange &exchange)
+std::string SealedEngine::headOf(unsigned status, const std::string &requestId,
+                                 const std::string &fields) const
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\nRequest-Id: " + requestId
+            + "\r\nReply-Seal: seal-" + requestId + "\r\n" + fields
+            + (m_isLeaving ? "Server-Leaving: 1\r\n" : "") + "\r\n";
+}
+
+bool SealedEngine::hasDeadlyPart(const HttpExchange &exchange) const
 {
+    const std::string parts = "," + exchange.header("Prompt-Prefix");
+    return !m_settings.deadlyPart.empty()
+            && parts.find("," + m_settings.deadlyPart + ":") < parts.rfind(',');
+}
+
+std::string SealedEngine::takeMode()
+{
+    if (m_modeCount == 0)
+        return {};
+    --m_modeCount;
+    return m_mode;
+}
+
+asio::awaitable<void> SealedEngine::control(HttpExchange &exchange)
+{
+    std::string text;
     if (exchange.path() == "/control/seen") {
-        std::string text;
         for (const auto &[id, runs] : m_runs)
             text += id + "=" + std::to_string(runs) + "\n";
-        co_await exchange.respond(200, "text/plain", std::move(text));
-        co_return;
-    }
-    if (exchange.path() == "/control/cut") {
+    } else if (exchange.path() == "/control/cut") {
         m_cutAfter = std::stoi(exchange.query("events", "-1"));
-        co_await exchange.respond(200, "text/plain", "");
+    } else if (exchange.path() == "/control/mode") {
+        m_mode = exchange.query("name");
+        m_modeCount = std::stoi(exchange.query("count", "1"));
+    } else if (exchange.path() == "/control/leave") {
+        m_isLeaving = true;
+    }
+    co_await exchange.respond(200, "text/plain", std::move(text));
+}
+
+asio::awaitable<void> SealedEngine::handle(HttpExchange &exchange)
+{
+    if (exchange.path().starts_with("/control/")) {
+        co_await control(exchange);
         co_return;
     }
     if (exchange.header("Expect-Instance") != m_settings.id) {
         co_await exchange.respond(421, "text/plain", "");
         co_return;
     }
-    std::string requestId = exchange.header("Request-Id");
+    const auto repeated = m_repeated.find(&exchange.socket());
+    if (repeated != m_repeated.end()) {
+        std::string refusal = repeated->second;
+        m_repeated.erase(repeated);
+        co_await write(exchange, std::move(refusal));
+    }
+    co_await run(exchange, exchange.header("Request-Id"));
+}
+
+asio::awaitable<void> SealedEngine::run(HttpExchange &exchange, std::string requestId)
+{
+    const std::string mode = takeMode();
+    if (mode.starts_with("refuse")) {
+        co_await refuse(exchange, requestId, mode == "refuse-again");
+        co_return;
+    }
     ++m_runs[requestId];
+    if (hasDeadlyPart(exchange))
+        std::_Exit(1);
+    if (mode.starts_with("endless")) {
+        co_await writeEndless(exchange, std::move(requestId), mode);
+        co_return;
+    }
+    if (mode == "error") {
+        std::string text = headOf(500, requestId, "Content-Length: 6\r\n") + "broken";
+        co_await write(exchange, std::move(text));
+        co_return;
+    }
     if (exchange.path().find("/stream/") != std::string::npos) {
-        co_await stream(exchange, std::move(requestId));
+        co_await stream(exchange, std::move(requestId), mode == "close");
         co_return;
     }
     const std::string &body = exchange.body();
     const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    std::string text = headOf(requestId, length) + body;
+    std::string text = headOf(200, requestId, mode == "close" ? std::string() : length) + body;
     co_await write(exchange, std::move(text));
+    if (mode == "close")
+        exchange.socket().close();
+}
+
+asio::awaitable<void> SealedEngine::refuse(HttpExchange &exchange, const std::string &requestId,
+                                           bool isRepeated)
+{
+    const std::string text = headOf(503, requestId, "Not-Run: 1\r\nContent-Length: 0\r\n");
+    if (isRepeated)
+        m_repeated[&exchange.socket()] = text;
+    std::string sent = text;
+    co_await write(exchange, std::move(sent));
+}
+
+asio::awaitable<void> SealedEngine::writeEndless(HttpExchange &exchange, std::string requestId,
+                                                 const std::string &mode)
+{
+    const std::string head = headOf(
+            200, requestId, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+    std::string begin;
+    std::string repeated(EndlessPieceBytes, 'x');
+    if (mode == "endless-head") {
+        begin = "HTTP/1.1 200 OK\r\n";
+        repeated = "X-Fill: " + repeated + "\r\n";
+    } else if (mode == "endless-interim") {
+        repeated = "HTTP/1.1 100 Continue\r\n\r\n";
+    } else if (mode == "endless-events") {
+        begin = head;
+        repeated = chunkOf("data: " + repeated + "\n\n");
+    }
+    bool isOpen = co_await write(exchange, std::move(begin));
+    while (isOpen) {
+        std::string piece = repeated;
+        isOpen = co_await write(exchange, std::move(piece));
+    }
+    exchange.drop();
 }
 
-asio::awaitable<void> SealedEngine::stream(HttpExchange &exchange, std::string requestId)
+asio::awaitable<void> SealedEngine::stream(HttpExchange &exchange, std::string requestId,
+                                           bool endsByClose)
 {
-    std::string head =
-            headOf(requestId, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+    const std::string framing = endsByClose ? "" : "Transfer-Encoding: chunked\r\n";
+    std::string head = headOf(200, requestId, "Content-Type: text/event-stream\r\n" + framing);
     bool isOpen = co_await write(exchange, std::move(head));
     const std::string last = exchange.header("Last-Event-Id");
     const int first = last.empty() ? 1 : std::stoi(last) + 1;
     const int cutAfter = std::exchange(m_cutAfter, -1);
+    const auto framed = [endsByClose](const std::string &text) {
+        return endsByClose ? text : chunkOf(text);
+    };
     for (int event = first; isOpen && event <= m_settings.events; ++event) {
         if (cutAfter >= 0 && event > cutAfter) {
             // In the middle of an event.
-            std::string half = chunkOf("id: " + std::to_string(event) + "\nda");
+            std::string half = framed("id: " + std::to_string(event) + "\nda");
             co_await write(exchange, std::move(half));
-            exchange.drop();
+            if (endsByClose)
+                exchange.socket().close();
+            else
+                exchange.drop();
             co_return;
         }
-        std::string text = chunkOf("id: " + std::to_string(event)
-                                   + "\ndata: " + eventData(requestId, event) + "\n\n");
+        std::string text = framed("id: " + std::to_string(event)
+                                  + "\ndata: " + eventData(requestId, event) + "\n\n");
         isOpen = co_await write(exchange, std::move(text));
         co_await pause(m_settings.eventGap);
     }
-    if (isOpen)
+    if (isOpen && !endsByClose)
         co_await write(exchange, "0\r\n\r\n");
+    if (endsByClose)
+        exchange.socket().close();
 }
 
 } // namespace pistachiofall::standins
--- a/standins/common/sealedengine.h
+++ b/standins/common/sealedengine.h
@@ -13,8 +13,19 @@
 
 /// An endpoint that seals its answers and names the request in them, as those of the users'
 /// platform do. A request with Last-Event-Id, or to a path with "/stream/", gets a stream of events
-/// with ids; any other one gets its body back. GET /control/seen tells how often each request ran,
-/// and POST /control/cut?events=N breaks the next stream after N events. It lives on one thread.
+/// with ids; any other one gets its body back. It lives on one thread.
+///
+/// GET /control/seen tells how often each request ran. GET /control/cut?events=N breaks the next
+/// stream after N events. GET /control/mode?name=NAME&count=N sets how the next N requests are
+/// answered:
+/// - error: with 500 and a text;
+/// - refuse: with 503, as not run;
+/// - refuse-again: as refuse, and the same bytes come once more before the answer to the next
+///   request on the connection;
+/// - close: without a length or chunks, up to the end of the connection;
+/// - endless-head, endless-interim, endless-events, endless-bytes: with header fields, interim
+///   answers, events without ids or letters, until the caller closes.
+/// GET /control/leave lets all further answers say that the endpoint leaves.
 class SealedEngine
 {
 public:
@@ -23,6 +34,9 @@
         std::string id;
         int events = 30;
         std::chrono::milliseconds eventGap{10};
+        /// The process ends when it begins to answer a request whose prompt has this part, other
+        /// than as its last one.
+        std::string deadlyPart;
     };
 
     explicit SealedEngine(Settings settings);
@@ -33,12 +47,28 @@
     static std::string eventData(const std::string &requestId, int event);
 
 private:
-    boost::asio::awaitable<void> stream(HttpExchange &exchange, std::string requestId);
+    boost::asio::awaitable<void> control(HttpExchange &exchange);
+    boost::asio::awaitable<void> run(HttpExchange &exchange, std::string requestId);
+    boost::asio::awaitable<void> writeEndless(HttpExchange &exchange, std::string requestId,
+                                              const std::string &mode);
+    boost::asio::awaitable<void> refuse(HttpExchange &exchange, const std::string &requestId,
+                                        bool isRepeated);
+    std::string takeMode();
+    bool hasDeadlyPart(const HttpExchange &exchange) const;
+    std::string headOf(unsigned status, const std::string &requestId,
+                       const std::string &fields) const;
+    boost::asio::awaitable<void> stream(HttpExchange &exchange, std::string requestId,
+                                        bool endsByClose);
     boost::asio::awaitable<bool> write(HttpExchange &exchange, std::string text);
 
     Settings m_settings;
     std::map<std::string, int> m_runs;
     int m_cutAfter = -1;
+    std::string m_mode;
+    int m_modeCount = 0;
+    bool m_isLeaving = false;
+    /// Refusals that come once more on their connection.
+    std::map<const void *, std::string> m_repeated;
 };
 
 } // namespace pistachiofall::standins
--- a/standins/sealedengine/main.cpp
+++ b/standins/sealedengine/main.cpp
@@ -18,9 +18,12 @@
     TCLAP::ValueArg<std::string> id("", "id", "name of this start", true, "", "ID", line);
     TCLAP::ValueArg<int> events("", "events", "events of a stream", false, 30, "N", line);
     TCLAP::ValueArg<int> gap("", "event-gap-ms", "time between two events", false, 10, "MS", line);
+    TCLAP::ValueArg<std::string> deadly("", "deadly-part", "prompt part that ends the process",
+                                        false, "", "ID", line);
     line.parse(argc, argv);
-    const auto engine = std::make_shared<SealedEngine>(SealedEngine::Settings{
-            id.getValue(), events.getValue(), std::chrono::milliseconds{gap.getValue()}});
+    const auto engine = std::make_shared<SealedEngine>(
+            SealedEngine::Settings{id.getValue(), events.getValue(),
+                                   std::chrono::milliseconds{gap.getValue()}, deadly.getValue()});
     boost::asio::io_context context(1);
     const auto port =
             startHttpServer(context.get_executor(), listen.getValue(),
--- a/tests/system/spacefleet.cpp
+++ b/tests/system/spacefleet.cpp
@@ -130,6 +130,16 @@
     httpGet(m_endpointPorts[id], "/control/cut?events=" + std::to_string(afterEvents));
 }
 
+void SpaceFleet::setAnswers(const std::string &id, const std::string &mode, int count)
+{
+    httpGet(m_endpointPorts[id], "/control/mode?name=" + mode + "&count=" + std::to_string(count));
+}
+
+void SpaceFleet::announceLeaving(const std::string &id)
+{
+    httpGet(m_endpointPorts[id], "/control/leave");
+}
+
 ChildProcess &SpaceFleet::endpoint(const std::string &id)
 {
     return *m_endpoints[id];
@@ -235,7 +245,8 @@
 
 HttpReply SpaceFleet::call(int index, const std::string &method, const std::string &target,
                            const std::string &requestId, const std::string &body,
-                           const std::string &key)
+                           const std::string &key,
+                           const std::map<std::string, std::string> &headers)
 {
     HttpCall call;
     call.port = callerPort(index);
@@ -245,6 +256,7 @@
                     {"Request-Id", requestId},
                     {"Deadline-Ms", "8000"},
                     {"Authorization", "Bearer " + key}};
+    call.headers.insert(headers.begin(), headers.end());
     call.body = body;
     return httpCall(call);
 }
--- a/tests/system/spacefleet.h
+++ b/tests/system/spacefleet.h
@@ -35,6 +35,10 @@
     /// What the endpoint says of the requests that it ran, one "ID=COUNT" a line.
     std::string seen(const std::string &id);
     void cutNextStream(const std::string &id, int afterEvents);
+    /// Sets how the endpoint answers its next requests, by the names of SealedEngine.
+    void setAnswers(const std::string &id, const std::string &mode, int count = 1);
+    /// Lets the endpoint say in all its answers that it leaves.
+    void announceLeaving(const std::string &id);
     ChildProcess &endpoint(const std::string &id);
     void unregisterEndpoint(const std::string &id);
     /// Marks the endpoint's entry as draining.
@@ -67,7 +71,8 @@
     /// A call of a caller with the key "key-1" and the headers that each request has.
     HttpReply call(int index, const std::string &method, const std::string &target,
                    const std::string &requestId, const std::string &body = {},
-                   const std::string &key = "key-1");
+                   const std::string &key = "key-1",
+                   const std::map<std::string, std::string> &headers = {});
 
 private:
     struct Ports
