Quarantine prompt parts that end endpoints

What callers see: requests with one part in their prompts end one endpoint after the other, and sound requests break off with them.

Cause: nothing tied the ends of endpoints to what their requests have in common; each instance retried its broken requests and took every further one. Class: a failure that follows the request is treated as a failure of the endpoint.

Change: when an endpoint ends before it has begun to answer a request, the parts that the request may share (all but its last) become suspects; the instances put their suspects together in the reports they exchange anyway. PromptQuarantine, which has no network, quarantines a part after three ends in a row, apart in time or one after the other under one request, without an answer to a request with it. Of parts that stand in the same prompts only the one that explains the ends is blamed, so that requests with the same first part or key go on. An answer at any instance clears a part. Requests with a quarantined part get 503, not run, at once; items stay pending. After a minute one request at one instance tests the part. At most 256 suspects, forgotten after half an hour without an end; at most 16 in a report. Items whose endpoints end return at different times.

Ruled out: blaming the first part, the route or the key, which sound requests share.

--- a/src/http/callfailure.h
+++ b/src/http/callfailure.h
@@ -34,6 +34,14 @@
     CallStage stage = CallStage::Connect;
 };
 
+/// Whether the connection broke after the request was sent, as it does when the endpoint ends.
+inline bool endsConnection(const CallFailure &failure)
+{
+    return failure.sent == RequestSent::Possibly
+            && (failure.error.code == ErrorCode::OutcomeUnknown
+                || failure.error.code == ErrorCode::Unavailable);
+}
+
 /// The outcome of a step of a call.
 template<typename T>
 using CallResult = std::variant<T, CallFailure>;
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -1,5 +1,6 @@
 #include "serving/jobrunner.h"
 
+#include "base/stablehash.h"
 #include "serving/eventsplitter.h"
 #include "wire/sleep.h"
 
@@ -33,6 +34,7 @@
 // The deadline sent to the endpoint with each item; far longer than any run.
 constexpr milliseconds ItemTimeout{60000};
 constexpr milliseconds RetryDelay{200};
+constexpr int MaxRetryDoublings = 4;
 // Interval of the periodic scan for orphans. The loss of an owner triggers a scan at once; this one
 // finds what that scan has missed.
 constexpr milliseconds AdoptionInterval{8000};
@@ -74,6 +76,9 @@
     const auto age = m_dependencies.clock.wallNow() - record.submitted;
     auto job = std::make_shared<OwnedJob>();
     job->progress.resize(items.size());
+    for (std::size_t index = 0; index < items.size(); ++index)
+        job->progress[index].sharedParts =
+                m_dependencies.protocol.decodeMetadata(items[index].headers).sharedParts;
     for (const JobResult &result : record.results) {
         for (std::size_t index = 0; index < items.size(); ++index) {
             if (items[index].id == result.itemId)
@@ -140,6 +145,9 @@
         finishAsDead(job, index, "no_route");
         return true;
     }
+    // The item stays pending: it may be sound, or its part may be answered one day.
+    if (m_dependencies.promptGuard.findRejection(job->progress[index].sharedParts))
+        return true;
     PlacementRequest request;
     request.service = chooseService(*route, item.id);
     request.failureDomain = m_dependencies.failureDomain;
@@ -217,6 +225,8 @@
     const JobItem &item = job->items[index];
     ItemProgress &progress = job->progress[index];
     const FleetEndpoint &endpoint = placement.endpoint;
+    if (m_dependencies.promptGuard.admit(item.id, progress.sharedParts))
+        co_return;
     ForwardingContext forwarding{item.id,     job->record.host,
                                  endpoint.id, job->record.organisation,
                                  ItemTimeout, progress.lastEventId};
@@ -243,8 +253,10 @@
     const CallResult<AnswerHead> responseHead = co_await call->send();
     if (!isOk(responseHead)) {
         if (!progress.isPreempted && !job->isReleased) {
+            if (endsConnection(failureOf(responseHead)))
+                noteEndpointEnd(job, index, endpoint);
             m_dependencies.board.recordFailure(endpoint.id, m_dependencies.clock.now());
-            progress.notBefore = m_dependencies.clock.now() + RetryDelay;
+            progress.notBefore = m_dependencies.clock.now() + retryDelay(job, index);
             m_dependencies.log.warning("item_interrupted",
                                        {{"job", job->record.id},
                                         {"item", item.id},
@@ -259,7 +271,8 @@
     }
     EventSplitter splitter;
     bool isInOrder = true;
-    const auto onEvent = [&progress, &isInOrder](const StreamEvent &event) {
+    int eventCount = 0;
+    const auto onEvent = [&](const StreamEvent &event) {
         if (event.id && progress.lastEventId && *event.id != *progress.lastEventId + 1)
             isInOrder = false;
         if (!isInOrder || !event.hasData)
@@ -270,6 +283,10 @@
         progress.hasOutput = true;
         if (event.id)
             progress.lastEventId = event.id;
+        if (++eventCount == PromptGuard::AnsweredEvents) {
+            progress.endedEndpoints = 0;
+            m_dependencies.promptGuard.answered(progress.sharedParts);
+        }
     };
     for (;;) {
         const auto piece = co_await call->readSome();
@@ -278,6 +295,9 @@
                 && !(isEnd && splitter.hasPartialEvent());
         if (!isValid) {
             if (!progress.isPreempted && !job->isReleased) {
+                if (!isOk(piece) && endsConnection(failureOf(piece))
+                    && eventCount < PromptGuard::AnsweredEvents)
+                    noteEndpointEnd(job, index, endpoint);
                 m_dependencies.board.recordFailure(endpoint.id, m_dependencies.clock.now());
                 m_dependencies.log.warning(
                         "item_interrupted",
@@ -295,10 +315,29 @@
             break;
     }
     m_dependencies.board.recordSuccess(endpoint.id);
+    m_dependencies.promptGuard.answered(progress.sharedParts);
     std::string output = progress.output;
     finishItem(job, index, {item.id, false, std::move(output)});
 }
 
+void JobRunner::noteEndpointEnd(const JobPtr &job, std::size_t index, const FleetEndpoint &endpoint)
+{
+    ItemProgress &progress = job->progress[index];
+    m_dependencies.promptGuard.endpointEnded(job->items[index].id, progress.sharedParts, endpoint,
+                                             progress.endedEndpoints > 0);
+    ++progress.endedEndpoints;
+}
+
+// Items whose endpoints keep ending return at different times, so that the sound ones among them
+// are answered.
+milliseconds JobRunner::retryDelay(const JobPtr &job, std::size_t index) const
+{
+    const int doublings = std::min(job->progress[index].endedEndpoints, MaxRetryDoublings);
+    const milliseconds range = RetryDelay * (1U << static_cast<unsigned>(doublings));
+    const std::string key = job->items[index].id + std::to_string(doublings);
+    return RetryDelay + milliseconds{static_cast<std::int64_t>(stableHash(key) % range.count())};
+}
+
 void JobRunner::handleFailureResponse(const JobPtr &job, std::size_t index,
                                       const AnswerHead &responseHead, const Placement &placement)
 {
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -85,6 +85,8 @@
     boost::asio::awaitable<void> runItem(JobPtr job, std::size_t index, Placement placement);
     boost::asio::awaitable<void> callEndpoint(JobPtr job, std::size_t index, Placement placement);
     boost::asio::awaitable<bool> confirmOwnership(JobPtr job);
+    void noteEndpointEnd(const JobPtr &job, std::size_t index, const FleetEndpoint &endpoint);
+    std::chrono::milliseconds retryDelay(const JobPtr &job, std::size_t index) const;
     void handleFailureResponse(const JobPtr &job, std::size_t index, const AnswerHead &responseHead,
                                const Placement &placement);
     void finishItem(const JobPtr &job, std::size_t index, JobResult result);
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -47,6 +47,8 @@
     /// Attempts that may have run the request.
     int possibleRuns = 0;
     int declinedAttempts = 0;
+    /// Attempts during which the endpoint ended before it answered.
+    int endedEndpoints = 0;
     bool isStreaming = false;
     bool isFinished = false;
     std::optional<std::uint64_t> lastEventId;
@@ -84,6 +86,7 @@
     SteadyTime begin;
     std::shared_ptr<EndpointCall> call;
     AnswerHead responseHead;
+    int eventCount = 0;
 };
 
 OnlineService::OnlineService(ServingDependencies dependencies)
@@ -119,6 +122,9 @@
     const auto executor = co_await asio::this_coro::executor;
     context.timer.emplace(executor);
     exchange.onCallerGone([&context] { context.caller.setDisconnected(); });
+    if (const auto wait =
+                m_dependencies.promptGuard.findRejection(context.request.metadata.sharedParts))
+        context.refusal = SlotRefusal{SlotRefusalReason::Quarantined, *wait};
     while (mayRetry(context))
         co_await attempt(exchange, context);
     if (!context.isFinished)
@@ -146,6 +152,12 @@
         co_return;
     }
     Attempt attempt(*this, context, std::get<Placement>(std::move(outcome)));
+    // The part may have been quarantined while the request waited.
+    if (const auto wait = m_dependencies.promptGuard.admit(request.metadata.requestId,
+                                                           request.metadata.sharedParts)) {
+        context.refusal = SlotRefusal{SlotRefusalReason::Quarantined, *wait};
+        co_return;
+    }
     m_dependencies.log.info(
             "request_placed",
             {{"request", request.metadata.requestId},
@@ -209,8 +221,7 @@
         m_dependencies.quotas.forceAcquire(request.organisation, now);
     CallResult<AnswerHead> responseHead = co_await attempt.call->send();
     if (!isOk(responseHead)) {
-        const CallFailure failure = failureOf(responseHead);
-        noteFailure(context, attempt, failure.error.message, failure.sent == RequestSent::Possibly);
+        noteCallFailure(context, attempt, failureOf(responseHead));
         co_return;
     }
     attempt.responseHead = valueOf(std::move(responseHead));
@@ -240,6 +251,17 @@
     }
 }
 
+void OnlineService::noteCallFailure(RequestContext &context, Attempt &attempt,
+                                    const CallFailure &failure)
+{
+    const bool isSent = failure.sent == RequestSent::Possibly;
+    if (endsConnection(failure) && attempt.eventCount < PromptGuard::AnsweredEvents)
+        m_dependencies.promptGuard.endpointEnded(
+                context.request.metadata.requestId, context.request.metadata.sharedParts,
+                attempt.placement.endpoint, context.endedEndpoints++ > 0);
+    noteFailure(context, attempt, failure.error.message, isSent);
+}
+
 void OnlineService::noteFailure(RequestContext &context, Attempt &attempt, std::string_view reason,
                                 bool mayHaveRun)
 {
@@ -284,11 +306,13 @@
 {
     auto body = co_await attempt.call->readAll(MaxResponseBytes);
     if (!isOk(body)) {
-        noteFailure(context, attempt, failureOf(body).error.message, true);
+        noteCallFailure(context, attempt, failureOf(body));
         co_return;
     }
-    if (attempt.responseHead.status < MinServerErrorStatus)
+    if (attempt.responseHead.status < MinServerErrorStatus) {
         m_dependencies.board.recordSuccess(attempt.placement.endpoint.id);
+        m_dependencies.promptGuard.answered(context.request.metadata.sharedParts);
+    }
     context.isFinished = true;
     const auto completed = m_dependencies.clock.now();
     m_dependencies.metrics.histogram("request_seconds").record(completed - context.request.arrival);
@@ -325,11 +349,13 @@
         if (event.id)
             lastId = event.id;
         ready += event.bytes;
+        if (++attempt.eventCount == PromptGuard::AnsweredEvents)
+            m_dependencies.promptGuard.answered(context.request.metadata.sharedParts);
     };
     for (;;) {
         auto piece = co_await attempt.call->readSome();
         if (!isOk(piece)) {
-            noteFailure(context, attempt, failureOf(piece).error.message, true);
+            noteCallFailure(context, attempt, failureOf(piece));
             co_return;
         }
         const bool isEnd = valueOf(piece).empty();
@@ -369,6 +395,7 @@
     if (!context.isStreaming)
         co_await exchange.startStream(attempt.responseHead.status, attempt.responseHead.headers);
     m_dependencies.board.recordSuccess(attempt.placement.endpoint.id);
+    m_dependencies.promptGuard.answered(context.request.metadata.sharedParts);
     context.isFinished = true;
     const auto completed = m_dependencies.clock.now();
     m_dependencies.metrics.histogram("stream_seconds").record(completed - context.request.arrival);
--- a/src/serving/onlineservice.h
+++ b/src/serving/onlineservice.h
@@ -9,6 +9,7 @@
 #include "metrics/metricsregistry.h"
 #include "serving/disconnectsignal.h"
 #include "serving/onlinerequest.h"
+#include "serving/promptguard.h"
 #include "serving/scheduler.h"
 #include "serving/servingprotocol.h"
 
@@ -30,6 +31,7 @@
     EndpointPool &board;
     QuotaLimiter &quotas;
     Scheduler &scheduler;
+    PromptGuard &promptGuard;
     std::shared_ptr<EndpointClient> client;
     /// The failure domain of this instance.
     std::string failureDomain;
@@ -63,6 +65,7 @@
                                                Attempt &attempt);
     boost::asio::awaitable<void> respondWithFailure(ServerExchange &exchange,
                                                     RequestContext &context);
+    void noteCallFailure(RequestContext &context, Attempt &attempt, const CallFailure &failure);
     void noteFailure(RequestContext &context, Attempt &attempt, std::string_view reason,
                      bool mayHaveRun);
     bool mayRetry(const RequestContext &context) const;
--- a/src/serving/ownedjob.h
+++ b/src/serving/ownedjob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coord/coordtimes.h"
+#include "fleet/promptpart.h"
 #include "http/endpointcall.h"
 #include "serving/jobitem.h"
 #include "serving/jobrecord.h"
@@ -32,6 +33,10 @@
     bool isPreempted = false;
     /// The item is not started before this time; set after a failure.
     SteadyTime notBefore{};
+    /// The number of runs in a row during which the endpoint ended before it answered.
+    int endedEndpoints = 0;
+    /// The parts of the item's prompt that other requests may share.
+    PromptParts sharedParts;
 };
 
 /// A batch job whose items this instance runs.
--- /dev/null
+++ b/src/serving/promptguard.cpp
@@ -0,0 +1,132 @@
+#include "serving/promptguard.h"
+
+#include "base/stablehash.h"
+
+#include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+#include <limits>
+#include <memory>
+#include <utility>
+
+namespace pistachiofall {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::uint32_t NeverAnswered = std::numeric_limits<std::uint32_t>::max();
+
+std::string toText(PromptPart part)
+{
+    std::array<char, 20> text{};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64, part);
+    return text.data();
+}
+
+std::uint32_t encodeAge(milliseconds age)
+{
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), NeverAnswered - 1));
+}
+
+std::uint64_t identify(const FleetEndpoint &endpoint)
+{
+    return stableHash(endpoint.id + '/' + std::to_string(endpoint.startedAt));
+}
+
+} // namespace
+
+PromptGuard::PromptGuard(const Clock &clock, DecisionLog &log, MetricsRegistry &metrics)
+    : m_clock(clock)
+    , m_log(log)
+    , m_metrics(metrics)
+{ }
+
+void PromptGuard::setCallbacks(Callbacks callbacks)
+{
+    m_callbacks = std::move(callbacks);
+}
+
+std::optional<milliseconds> PromptGuard::findRejection(const PromptParts &parts) const
+{
+    const auto now = m_clock.now();
+    const auto part = m_quarantine.findQuarantined(parts, m_callbacks.isTester, now);
+    if (!part)
+        return std::nullopt;
+    return m_quarantine.remaining(*part, now);
+}
+
+std::optional<milliseconds> PromptGuard::admit(const std::string &requestId,
+                                               const PromptParts &parts)
+{
+    const auto now = m_clock.now();
+    const auto part = m_quarantine.admit(parts, m_callbacks.isTester, now);
+    if (!part)
+        return std::nullopt;
+    m_metrics.counter("prompts_rejected_total").add();
+    m_log.warning("prompt_rejected", {{"request", requestId}, {"part", toText(*part)}});
+    return m_quarantine.remaining(*part, now);
+}
+
+void PromptGuard::endpointEnded(const std::string &requestId, const PromptParts &parts,
+                                const FleetEndpoint &endpoint, bool isRepeated)
+{
+    if (parts.empty())
+        return;
+    for (const PromptPart part : parts)
+        m_log.info("prompt_part_suspected",
+                   {{"request", requestId}, {"endpoint", endpoint.id}, {"part", toText(part)}});
+    for (const PromptPart part :
+         m_quarantine.recordEnd(parts, {identify(endpoint), m_clock.now(), isRepeated}))
+        m_log.warning("prompt_part_quarantined", {{"part", toText(part)}, {"source", "own"}});
+    m_callbacks.changed();
+}
+
+void PromptGuard::answered(const PromptParts &parts)
+{
+    const std::size_t before = m_quarantine.quarantinedCount();
+    for (const PromptPart part : m_quarantine.recordAnswer(parts, m_clock.now()))
+        m_log.info("prompt_part_cleared", {{"part", toText(part)}});
+    if (m_quarantine.quarantinedCount() != before)
+        m_callbacks.changed();
+}
+
+void PromptGuard::fillReport(wire::FleetReportT &report) const
+{
+    for (const PromptPartReport &part : m_quarantine.reports(m_clock.now())) {
+        auto entry = std::make_unique<wire::PromptPartMarkT>();
+        entry->part = part.part;
+        entry->depth = static_cast<std::uint16_t>(part.depth);
+        entry->answeredAgeMs = part.answeredAge ? encodeAge(*part.answeredAge) : NeverAnswered;
+        for (const PromptPartReport::End &end : part.ends)
+            entry->ends.emplace_back(end.endpoint, encodeAge(end.age), end.isRepeated);
+        report.promptParts.push_back(std::move(entry));
+    }
+}
+
+void PromptGuard::handleReport(const std::string &peer, const wire::FleetReportT &report)
+{
+    for (const auto &entry : report.promptParts) {
+        PromptPartReport part;
+        part.part = entry->part;
+        part.depth = entry->depth;
+        if (entry->answeredAgeMs != NeverAnswered)
+            part.answeredAge = milliseconds{entry->answeredAgeMs};
+        for (const wire::EndpointEndMark &end : entry->ends)
+            part.ends.push_back({end.endpoint(), milliseconds{end.ageMs()}, end.isRepeated()});
+        for (const PromptPart quarantined : m_quarantine.recordPeer(part, m_clock.now()))
+            m_log.warning("prompt_part_quarantined",
+                          {{"part", toText(quarantined)}, {"source", peer}});
+    }
+}
+
+void PromptGuard::updateMetrics()
+{
+    m_metrics.gauge("prompt_parts_suspected")
+            .set(static_cast<std::int64_t>(m_quarantine.suspectCount()));
+    m_metrics.gauge("prompt_parts_quarantined")
+            .set(static_cast<std::int64_t>(m_quarantine.quarantinedCount()));
+}
+
+} // namespace pistachiofall
--- /dev/null
+++ b/src/serving/promptguard.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/decisionlog.h"
+#include "fleet/fleetendpoint.h"
+#include "fleet/promptquarantine.h"
+#include "metrics/metricsregistry.h"
+#include "wire/messages_generated.h"
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace pistachiofall {
+
+/// Keeps requests away from endpoints whose prompts hold a part that ends endpoints, and shares
+/// what it learns with the other instances. Not thread safe.
+class PromptGuard
+{
+public:
+    /// An endpoint that has sent this many events has not ended at the beginning of its answer.
+    static constexpr int AnsweredEvents = 3;
+
+    struct Callbacks
+    {
+        PromptQuarantine::IsTester isTester;
+        /// There is news for the peers.
+        std::function<void()> changed;
+    };
+
+    PromptGuard(const Clock &clock, DecisionLog &log, MetricsRegistry &metrics);
+
+    void setCallbacks(Callbacks callbacks);
+
+    /// If requests with these parts are rejected now, the time after which to try again.
+    std::optional<std::chrono::milliseconds> findRejection(const PromptParts &parts) const;
+    /// As findRejection(), directly before a request with these parts is sent.
+    std::optional<std::chrono::milliseconds> admit(const std::string &requestId,
+                                                   const PromptParts &parts);
+
+    /// The connection to the endpoint broke before it had begun to answer the request. isRepeated
+    /// tells that the same request met this at another endpoint before.
+    void endpointEnded(const std::string &requestId, const PromptParts &parts,
+                       const FleetEndpoint &endpoint, bool isRepeated);
+    /// The endpoint has begun to answer a request with these parts, or has answered it.
+    void answered(const PromptParts &parts);
+
+    void fillReport(wire::FleetReportT &report) const;
+    void handleReport(const std::string &peer, const wire::FleetReportT &report);
+    /// Forgets what is old. To be called periodically.
+    void tick() { m_quarantine.removeExpired(m_clock.now()); }
+    /// Sets the gauges of the suspects.
+    void updateMetrics();
+
+private:
+    const Clock &m_clock;
+    DecisionLog &m_log;
+    MetricsRegistry &m_metrics;
+    Callbacks m_callbacks;
+    PromptQuarantine m_quarantine;
+};
+
+} // namespace pistachiofall
--- a/src/serving/requestmetadata.h
+++ b/src/serving/requestmetadata.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fleet/promptpart.h"
+
 #include <chrono>
 #include <optional>
 #include <string>
@@ -16,6 +18,8 @@
     std::optional<std::chrono::milliseconds> deadline;
     /// The API key; empty if the request has none.
     std::string key;
+    /// The parts of the prompt that other requests may share, without the request's own last part.
+    PromptParts sharedParts;
 };
 
 } // namespace pistachiofall
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -12,6 +12,7 @@
 #include "serving/jobformat.h"
 #include "serving/jobrunner.h"
 #include "serving/jobservice.h"
+#include "serving/promptguard.h"
 #include "serving/storewatchers.h"
 #include "settings/loadfleetsettings.h"
 #include "wire/body.h"
@@ -99,6 +100,7 @@
     void peerLost(const std::string &peer, bool hasStopped);
     void fillReport(wire::FleetReportT &report);
     void notifyJobEnded(const std::string &jobId);
+    bool isFirstInstanceFor(PromptPart part) const;
     bool isOwnerAlive(const std::string &owner) const;
     std::vector<std::string> adopters() const;
     bool handOver(const std::string &jobId);
@@ -128,6 +130,7 @@
     EndpointPool board;
     QuotaLimiter quotas;
     Scheduler scheduler;
+    PromptGuard promptGuard;
     FleetPeers peers;
     ConfigHolder config;
     const std::shared_ptr<EndpointClient> client;
@@ -155,6 +158,7 @@
     , board(settings.name)
     , quotas(settings.quotaWindow)
     , scheduler(context.get_executor(), clock, board, metrics)
+    , promptGuard(clock, log, metrics)
     , peers(context.get_executor(), clock, log, metrics, peerFromSettings(settings),
             randomIncarnation())
     , config(*protocol, log, [this](const ServingConfig::Ptr &newest) { configChanged(newest); })
@@ -175,9 +179,8 @@
 
 ServingDependencies ServingInstance::Data::dependencies()
 {
-    return {clock,     *protocol, log,
-            metrics,   board,     quotas,
-            scheduler, client,    settings.failureDomain};
+    return {clock,  *protocol, log,         metrics, board,
+            quotas, scheduler, promptGuard, client,  settings.failureDomain};
 }
 
 Result<Done> ServingInstance::Data::open(const SpaceFactory &spaceFactory)
@@ -215,6 +218,11 @@
             });
     ingress = std::make_unique<Ingress>(dependencies(), config, *online, *jobService);
 
+    PromptGuard::Callbacks guardCallbacks;
+    guardCallbacks.isTester = [this](PromptPart part) { return isFirstInstanceFor(part); };
+    guardCallbacks.changed = [this] { peers.noteUsageChange(); };
+    promptGuard.setCallbacks(std::move(guardCallbacks));
+
     Scheduler::Callbacks schedulerCallbacks;
     schedulerCallbacks.capacityChanged = [this] { jobs->startPendingItems(); };
     schedulerCallbacks.preemptBatch = [this](const std::string &endpoint, int count) {
@@ -312,6 +320,7 @@
 void ServingInstance::Data::peerReported(const std::string &peer, const wire::FleetReportT &report)
 {
     watchers->handleReport(report);
+    promptGuard.handleReport(peer, report);
     std::map<std::string, EndpointUsage> use;
     for (const auto &each : report.endpoints)
         use[each->endpoint] = {each->online, each->batch};
@@ -345,6 +354,7 @@
     report.configVersion = config.version();
     report.storeAgeMs = static_cast<std::uint32_t>(storeAge().count());
     watchers->fillReport(report);
+    promptGuard.fillReport(report);
     for (const auto &[id, use] : board.localUsage()) {
         auto entry = std::make_unique<wire::EndpointUseT>();
         entry->endpoint = id;
@@ -372,6 +382,18 @@
     return std::max(milliseconds{0}, duration_cast<milliseconds>(clock.now() - newest));
 }
 
+// Whether this instance is the first of the live instances that take callers, in an order that
+// depends on the part.
+bool ServingInstance::Data::isFirstInstanceFor(PromptPart part) const
+{
+    const std::string key = std::to_string(part);
+    const std::uint64_t own = rendezvousRank(key, settings.name);
+    const auto callers = peers.callerInstances();
+    return std::none_of(callers.begin(), callers.end(), [&](const std::string &name) {
+        return peers.isAlive(name) && rendezvousRank(key, name) < own;
+    });
+}
+
 // The owner has the form "name/incarnation".
 bool ServingInstance::Data::isOwnerAlive(const std::string &owner) const
 {
@@ -544,6 +566,7 @@
     metrics.gauge("config_version").set(static_cast<std::int64_t>(config.version()));
     metrics.gauge("store_age_ms").set(storeAge().count());
     watchers->updateMetrics(metrics);
+    promptGuard.updateMetrics();
     metrics.gauge("peers_alive").set(static_cast<std::int64_t>(peers.aliveNames().size()));
     metrics.gauge("jobs_owned").set(static_cast<std::int64_t>(jobs->jobCount()));
     HttpHeaders headers{{"Content-Type", "text/plain; version=0.0.4"}};
@@ -557,6 +580,7 @@
     for (;;) {
         co_await sleepFor(TickInterval);
         watchers->tick();
+        promptGuard.tick();
         quotas.setHistoryKnown(
                 peers.hasPeerWithUptimeAbove(settings.quotaWindow + QuotaMemoryMargin),
                 clock.now());
--- a/src/serving/slotoutcome.cpp
+++ b/src/serving/slotoutcome.cpp
@@ -13,6 +13,8 @@
         return "deadline_passed";
     case SlotRefusalReason::CallerGone:
         return "caller_gone";
+    case SlotRefusalReason::Quarantined:
+        return "quarantined";
     }
     return "unknown";
 }
--- a/src/serving/slotoutcome.h
+++ b/src/serving/slotoutcome.h
@@ -18,6 +18,8 @@
     DeadlinePassed,
     /// The caller has disconnected.
     CallerGone,
+    /// The prompt holds a part that ends endpoints.
+    Quarantined,
 };
 
 std::string_view toString(SlotRefusalReason reason);
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -138,6 +138,12 @@
 
 struct WatchMark;
 
+struct EndpointEndMark;
+
+struct PromptPartMark;
+struct PromptPartMarkBuilder;
+struct PromptPartMarkT;
+
 struct FleetReport;
 struct FleetReportBuilder;
 struct FleetReportT;
@@ -1045,6 +1051,49 @@
   using type = WatchMark;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EndpointEndMark FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  uint32_t ageMs_;
+  uint8_t isRepeated_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  struct Traits;
+  EndpointEndMark()
+      : endpoint_(0),
+        ageMs_(0),
+        isRepeated_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  EndpointEndMark(uint64_t _endpoint, uint32_t _ageMs, bool _isRepeated)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        ageMs_(flatbuffers::EndianScalar(_ageMs)),
+        isRepeated_(flatbuffers::EndianScalar(static_cast<uint8_t>(_isRepeated))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint32_t ageMs() const {
+    return flatbuffers::EndianScalar(ageMs_);
+  }
+  bool isRepeated() const {
+    return flatbuffers::EndianScalar(isRepeated_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(EndpointEndMark, 16);
+
+struct EndpointEndMark::Traits {
+  using type = EndpointEndMark;
+};
+
 struct PingT : public flatbuffers::NativeTable {
   typedef Ping TableType;
 };
@@ -3814,6 +3863,113 @@
 
 flatbuffers::Offset<FleetMember> CreateFleetMember(flatbuffers::FlatBufferBuilder &_fbb, const FleetMemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PromptPartMarkT : public flatbuffers::NativeTable {
+  typedef PromptPartMark TableType;
+  uint64_t part = 0;
+  uint16_t depth = 0;
+  uint32_t answeredAgeMs = 0;
+  std::vector<pistachiofall::wire::EndpointEndMark> ends{};
+};
+
+struct PromptPartMark FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PromptPartMarkT NativeTableType;
+  typedef PromptPartMarkBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PART = 4,
+    VT_DEPTH = 6,
+    VT_ANSWEREDAGEMS = 8,
+    VT_ENDS = 10
+  };
+  uint64_t part() const {
+    return GetField<uint64_t>(VT_PART, 0);
+  }
+  uint16_t depth() const {
+    return GetField<uint16_t>(VT_DEPTH, 0);
+  }
+  uint32_t answeredAgeMs() const {
+    return GetField<uint32_t>(VT_ANSWEREDAGEMS, 0);
+  }
+  const flatbuffers::Vector<const pistachiofall::wire::EndpointEndMark *> *ends() const {
+    return GetPointer<const flatbuffers::Vector<const pistachiofall::wire::EndpointEndMark *> *>(VT_ENDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_PART, 8) &&
+           VerifyField<uint16_t>(verifier, VT_DEPTH, 2) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWEREDAGEMS, 4) &&
+           VerifyOffset(verifier, VT_ENDS) &&
+           verifier.VerifyVector(ends()) &&
+           verifier.EndTable();
+  }
+  PromptPartMarkT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PromptPartMarkT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PromptPartMark> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartMarkT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PromptPartMarkBuilder {
+  typedef PromptPartMark Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_part(uint64_t part) {
+    fbb_.AddElement<uint64_t>(PromptPartMark::VT_PART, part, 0);
+  }
+  void add_depth(uint16_t depth) {
+    fbb_.AddElement<uint16_t>(PromptPartMark::VT_DEPTH, depth, 0);
+  }
+  void add_answeredAgeMs(uint32_t answeredAgeMs) {
+    fbb_.AddElement<uint32_t>(PromptPartMark::VT_ANSWEREDAGEMS, answeredAgeMs, 0);
+  }
+  void add_ends(flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointEndMark *>> ends) {
+    fbb_.AddOffset(PromptPartMark::VT_ENDS, ends);
+  }
+  explicit PromptPartMarkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PromptPartMark> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PromptPartMark>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PromptPartMark> CreatePromptPartMark(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t part = 0,
+    uint16_t depth = 0,
+    uint32_t answeredAgeMs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointEndMark *>> ends = 0) {
+  PromptPartMarkBuilder builder_(_fbb);
+  builder_.add_part(part);
+  builder_.add_ends(ends);
+  builder_.add_answeredAgeMs(answeredAgeMs);
+  builder_.add_depth(depth);
+  return builder_.Finish();
+}
+
+struct PromptPartMark::Traits {
+  using type = PromptPartMark;
+  static auto constexpr Create = CreatePromptPartMark;
+};
+
+inline flatbuffers::Offset<PromptPartMark> CreatePromptPartMarkDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t part = 0,
+    uint16_t depth = 0,
+    uint32_t answeredAgeMs = 0,
+    const std::vector<pistachiofall::wire::EndpointEndMark> *ends = nullptr) {
+  auto ends__ = ends ? _fbb.CreateVectorOfStructs<pistachiofall::wire::EndpointEndMark>(*ends) : 0;
+  return pistachiofall::wire::CreatePromptPartMark(
+      _fbb,
+      part,
+      depth,
+      answeredAgeMs,
+      ends__);
+}
+
+flatbuffers::Offset<PromptPartMark> CreatePromptPartMark(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartMarkT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FleetReportT : public flatbuffers::NativeTable {
   typedef FleetReport TableType;
   std::unique_ptr<pistachiofall::wire::FleetMemberT> sender{};
@@ -3829,6 +3985,7 @@
   std::unique_ptr<pistachiofall::wire::WatchMark> configMark{};
   std::unique_ptr<pistachiofall::wire::WatchMark> endpointMark{};
   std::unique_ptr<pistachiofall::wire::WatchMark> evacuationMark{};
+  std::vector<std::unique_ptr<pistachiofall::wire::PromptPartMarkT>> promptParts{};
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3852,7 +4009,8 @@
     VT_QUEUES = 22,
     VT_CONFIGMARK = 24,
     VT_ENDPOINTMARK = 26,
-    VT_EVACUATIONMARK = 28
+    VT_EVACUATIONMARK = 28,
+    VT_PROMPTPARTS = 30
   };
   const pistachiofall::wire::FleetMember *sender() const {
     return GetPointer<const pistachiofall::wire::FleetMember *>(VT_SENDER);
@@ -3893,6 +4051,9 @@
   const pistachiofall::wire::WatchMark *evacuationMark() const {
     return GetStruct<const pistachiofall::wire::WatchMark *>(VT_EVACUATIONMARK);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>> *promptParts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>> *>(VT_PROMPTPARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -3915,6 +4076,9 @@
            VerifyField<pistachiofall::wire::WatchMark>(verifier, VT_CONFIGMARK, 8) &&
            VerifyField<pistachiofall::wire::WatchMark>(verifier, VT_ENDPOINTMARK, 8) &&
            VerifyField<pistachiofall::wire::WatchMark>(verifier, VT_EVACUATIONMARK, 8) &&
+           VerifyOffset(verifier, VT_PROMPTPARTS) &&
+           verifier.VerifyVector(promptParts()) &&
+           verifier.VerifyVectorOfTables(promptParts()) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3965,6 +4129,9 @@
   void add_evacuationMark(const pistachiofall::wire::WatchMark *evacuationMark) {
     fbb_.AddStruct(FleetReport::VT_EVACUATIONMARK, evacuationMark);
   }
+  void add_promptParts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>>> promptParts) {
+    fbb_.AddOffset(FleetReport::VT_PROMPTPARTS, promptParts);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3990,11 +4157,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> queues = 0,
     const pistachiofall::wire::WatchMark *configMark = nullptr,
     const pistachiofall::wire::WatchMark *endpointMark = nullptr,
-    const pistachiofall::wire::WatchMark *evacuationMark = nullptr) {
+    const pistachiofall::wire::WatchMark *evacuationMark = nullptr,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>>> promptParts = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configVersion(configVersion);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_promptParts(promptParts);
   builder_.add_evacuationMark(evacuationMark);
   builder_.add_endpointMark(endpointMark);
   builder_.add_configMark(configMark);
@@ -4027,10 +4196,12 @@
     const std::vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *queues = nullptr,
     const pistachiofall::wire::WatchMark *configMark = nullptr,
     const pistachiofall::wire::WatchMark *endpointMark = nullptr,
-    const pistachiofall::wire::WatchMark *evacuationMark = nullptr) {
+    const pistachiofall::wire::WatchMark *evacuationMark = nullptr,
+    const std::vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>> *promptParts = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>>(*organisations) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*queues) : 0;
+  auto promptParts__ = promptParts ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>>(*promptParts) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       sender,
@@ -4045,7 +4216,8 @@
       queues__,
       configMark,
       endpointMark,
-      evacuationMark);
+      evacuationMark,
+      promptParts__);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5797,6 +5969,41 @@
       _takesCallers);
 }
 
+inline PromptPartMarkT *PromptPartMark::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PromptPartMarkT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PromptPartMark::UnPackTo(PromptPartMarkT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = part(); _o->part = _e; }
+  { auto _e = depth(); _o->depth = _e; }
+  { auto _e = answeredAgeMs(); _o->answeredAgeMs = _e; }
+  { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<PromptPartMark> PromptPartMark::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartMarkT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePromptPartMark(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PromptPartMark> CreatePromptPartMark(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartMarkT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PromptPartMarkT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _part = _o->part;
+  auto _depth = _o->depth;
+  auto _answeredAgeMs = _o->answeredAgeMs;
+  auto _ends = _o->ends.size() ? _fbb.CreateVectorOfStructs(_o->ends) : 0;
+  return pistachiofall::wire::CreatePromptPartMark(
+      _fbb,
+      _part,
+      _depth,
+      _answeredAgeMs,
+      _ends);
+}
+
 inline FleetReportT::FleetReportT(const FleetReportT &o)
       : sender((o.sender) ? new pistachiofall::wire::FleetMemberT(*o.sender) : nullptr),
         incarnation(o.incarnation),
@@ -5814,6 +6021,8 @@
   for (const auto &organisations_ : o.organisations) { organisations.emplace_back((organisations_) ? new pistachiofall::wire::OrganisationUseT(*organisations_) : nullptr); }
   queues.reserve(o.queues.size());
   for (const auto &queues_ : o.queues) { queues.emplace_back((queues_) ? new pistachiofall::wire::ServiceQueueT(*queues_) : nullptr); }
+  promptParts.reserve(o.promptParts.size());
+  for (const auto &promptParts_ : o.promptParts) { promptParts.emplace_back((promptParts_) ? new pistachiofall::wire::PromptPartMarkT(*promptParts_) : nullptr); }
 }
 
 inline FleetReportT &FleetReportT::operator=(FleetReportT o) FLATBUFFERS_NOEXCEPT {
@@ -5830,6 +6039,7 @@
   std::swap(configMark, o.configMark);
   std::swap(endpointMark, o.endpointMark);
   std::swap(evacuationMark, o.evacuationMark);
+  std::swap(promptParts, o.promptParts);
   return *this;
 }
 
@@ -5855,6 +6065,7 @@
   { auto _e = configMark(); if (_e) _o->configMark = std::unique_ptr<pistachiofall::wire::WatchMark>(new pistachiofall::wire::WatchMark(*_e)); }
   { auto _e = endpointMark(); if (_e) _o->endpointMark = std::unique_ptr<pistachiofall::wire::WatchMark>(new pistachiofall::wire::WatchMark(*_e)); }
   { auto _e = evacuationMark(); if (_e) _o->evacuationMark = std::unique_ptr<pistachiofall::wire::WatchMark>(new pistachiofall::wire::WatchMark(*_e)); }
+  { auto _e = promptParts(); if (_e) { _o->promptParts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->promptParts[_i] = std::unique_ptr<pistachiofall::wire::PromptPartMarkT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5878,6 +6089,7 @@
   auto _configMark = _o->configMark ? _o->configMark.get() : nullptr;
   auto _endpointMark = _o->endpointMark ? _o->endpointMark.get() : nullptr;
   auto _evacuationMark = _o->evacuationMark ? _o->evacuationMark.get() : nullptr;
+  auto _promptParts = _o->promptParts.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>> (_o->promptParts.size(), [](size_t i, _VectorArgs *__va) { return CreatePromptPartMark(*__va->__fbb, __va->__o->promptParts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       _sender,
@@ -5892,7 +6104,8 @@
       _queues,
       _configMark,
       _endpointMark,
-      _evacuationMark);
+      _evacuationMark,
+      _promptParts);
 }
 
 inline FleetReportReplyT::FleetReportReplyT(const FleetReportReplyT &o)
