--- a/standins/common/spacestore.cpp
+++ b/standins/common/spacestore.cpp
@@ -20,6 +20,7 @@
 // Longer than any test.
 constexpr std::chrono::minutes MutedTime{10};
 constexpr std::chrono::milliseconds SlowReadTime{1200};
+constexpr std::chrono::milliseconds LateWriteTime{2500};
 
 std::uint64_t revisionOf(const json::object &object)
 {
@@ -107,10 +108,15 @@
             status = 400;
         else if (method == "POST")
             status = create(kind, body.get_object(), result);
-        else
+        else if (m_fault == "late-writes" && revisionOf(body.get_object()) != 0)
+            co_await pause(LateWriteTime);
+        if (status == 200 && method == "PUT")
             status = replace(key, isStatus ? "status" : "spec", body.get_object(), result);
     }
-    if (m_fault == "lose" && method != "GET" && status < 300) {
+    if (m_fault == "slow-answers" && method != "GET")
+        co_await pause(SlowReadTime);
+    const bool isLost = m_fault == "lose" || m_fault == "late-writes";
+    if (isLost && method != "GET" && status < 300) {
         exchange.drop();
         co_return;
     }
--- a/standins/common/spacestore.h
+++ b/standins/common/spacestore.h
@@ -24,6 +24,9 @@
 /// - down: every call gets 503;
 /// - lose: writes that are done are not answered;
 /// - refuse-watches: watches get 503, all other calls work;
+/// - slow-answers: writes are done at once and answered 1.2 s later;
+/// - late-writes: writes with a condition are not answered, and done 2.5 s later if the condition
+///   still holds;
 /// - slow-reads: reads of one object take 1.2 s;
 /// - garble-watches: the answers to watches that report a change can not be read.
 /// POST /control/mute leaves the watches that are open now without an answer for good, with their
