Let reads of a job never go back

What callers see: results of a job that have been read are not there a moment later, at another instance.

Cause: an owner answered reads from memory for 2 s after it had processed the store's last answer. While the answer to its own write was on the way, the store already showed the results to instances that read it. A slow owner counted from seconds after the confirmation; a replaced one could answer while the new one showed results; a record was reused for 250 ms. Class: a lease without a rule for both sides.

Change: ReadLease is the rule, without a network: an owner answers for 2 s after it sent the confirming call, counted with suspensions, and not while a write is unanswered or uncertain; a new owner stores no result until that time has passed since its takeover. Each read asks anew. An instance that reads less than it has shown answers 503. The right to start items counts from the call as well. job_read names the source and revision of each read.

--- a/src/base/manualclock.h
+++ b/src/base/manualclock.h
@@ -11,6 +11,7 @@
 {
 public:
     std::chrono::steady_clock::time_point now() const override;
+    std::chrono::steady_clock::time_point bootNow() const override { return now(); }
     std::chrono::system_clock::time_point wallNow() const override;
 
     /// Moves both times forward.
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -20,13 +20,11 @@
 // Minimum interval between two writes of a job's results. Callers read a job twice a second.
 constexpr milliseconds WriteInterval{1000};
 constexpr milliseconds WriteRetryDelay{100};
+constexpr milliseconds WritePollInterval{10};
 // An item starts only if the store has confirmed within this time that its job is open and owned by
 // this instance. The API guarantees that no item of an ended job starts more than 3 s after the
 // end.
 constexpr milliseconds ConfirmationTtl{1500};
-// Maximum age of a state returned to readers. A replaced owner may return its old state for this
-// long; the next owner needs longer to produce its first result, so readers miss none.
-constexpr milliseconds MaxReadAge{2000};
 constexpr milliseconds ConnectTimeout{300};
 // An engine that admits requests in order of arrival may queue an item behind others.
 constexpr milliseconds FirstEventTimeout{4000};
@@ -68,7 +66,7 @@
     return found == m_jobs.end() ? nullptr : found->second;
 }
 
-void JobRunner::add(JobRecord record, std::vector<JobItem> items)
+void JobRunner::add(JobRecord record, std::vector<JobItem> items, SteadyTime confirmed)
 {
     if (m_jobs.contains(record.id))
         return;
@@ -86,8 +84,8 @@
         }
     }
     job->due = now + record.dueAfter - std::chrono::duration_cast<std::chrono::nanoseconds>(age);
-    job->confirmed = now;
-    job->acknowledged = now;
+    job->confirmed = confirmed;
+    job->readLease.recordConfirmation(confirmed);
     job->items = std::move(items);
     m_dependencies.log.info("job_taken",
                             {{"job", record.id},
@@ -197,10 +195,10 @@
     const JobPtr job = find(id);
     if (!job)
         co_return std::nullopt;
-    if (m_dependencies.clock.now() - job->acknowledged > MaxReadAge)
-        co_await reconcile(job);
-    const bool isCurrent = m_dependencies.clock.now() - job->acknowledged <= MaxReadAge;
-    if (job->isReleased || !isCurrent)
+    if (job->readLease.mayAnswer(m_dependencies.clock.bootNow()))
+        co_return job->record;
+    const bool isRead = co_await reconcile(job);
+    if (job->isReleased || !isRead)
         co_return std::nullopt;
     co_return job->record;
 }
@@ -212,10 +210,10 @@
 {
     if (job->isReleased)
         co_return false;
-    if (m_dependencies.clock.now() - job->confirmed <= ConfirmationTtl || job->isWriting)
+    if (m_dependencies.clock.bootNow() - job->confirmed <= ConfirmationTtl || job->isWriting)
         co_return true;
     // Set before the read, so that items that start together cause one read only.
-    job->confirmed = m_dependencies.clock.now();
+    job->confirmed = m_dependencies.clock.bootNow();
     co_await reconcile(job);
     co_return !job->isReleased;
 }
@@ -388,23 +386,33 @@
         const auto now = m_dependencies.clock.now();
         const bool isComplete = job->finishedCount() == job->record.itemCount;
         const auto dueIn = job->oldestUnwritten + WriteInterval - now;
-        if (!isComplete && !m_isStopping && dueIn.count() > 0) {
+        const bool isHeldBack = m_dependencies.clock.bootNow() < job->readLease.resultsFrom();
+        if (isHeldBack || (!isComplete && !m_isStopping && dueIn.count() > 0)) {
             // Sleeps in short steps, because the last result of the job is written at once.
-            co_await sleepFor(std::min(std::chrono::ceil<milliseconds>(dueIn), WriteRetryDelay));
+            const auto wait = std::max(std::chrono::ceil<milliseconds>(dueIn), WritePollInterval);
+            co_await sleepFor(std::min(wait, WriteRetryDelay));
             continue;
         }
         JobRecord next = job->record;
         next.owner = m_owner;
         next.results.insert(next.results.end(), job->unwritten.begin(), job->unwritten.end());
+        const auto sent = m_dependencies.clock.bootNow();
+        job->readLease.recordWriteSent();
         auto written = co_await m_store.write(std::move(next));
         if (isOk(written)) {
-            job->applyStored(valueOf(std::move(written)), m_dependencies.clock.now());
+            job->readLease.recordWriteSettled();
+            job->readLease.recordConfirmation(sent);
+            job->applyStored(valueOf(std::move(written)), sent);
             job->oldestUnwritten = m_dependencies.clock.now();
             releaseIfNotOwned(job);
             continue;
         }
         m_dependencies.log.warning("results_not_written",
                                    {{"job", job->record.id}, {"reason", errorOf(written).message}});
+        if (isCertainlyNotApplied(errorOf(written)))
+            job->readLease.recordWriteSettled();
+        else
+            job->readLease.recordWriteUncertain();
         co_await reconcile(job);
         if (!job->isReleased)
             co_await sleepFor(WriteRetryDelay);
@@ -419,13 +427,16 @@
 asio::awaitable<bool> JobRunner::reconcile(JobPtr job)
 {
     std::string id = job->record.id;
+    const auto sent = m_dependencies.clock.bootNow();
     auto stored = co_await m_store.read(std::move(id));
     if (!isOk(stored)) {
         if (errorOf(stored).code == ErrorCode::NotFound)
             release(job, "not_stored");
         co_return false;
     }
-    job->applyStored(valueOf(std::move(stored)), m_dependencies.clock.now());
+    if (valueOf(stored).owner == m_owner)
+        job->readLease.recordConfirmation(sent);
+    job->applyStored(valueOf(std::move(stored)), sent);
     releaseIfNotOwned(job);
     co_return true;
 }
@@ -572,8 +583,9 @@
         co_return;
     }
     const std::string previousOwner = std::exchange(adopted.owner, m_owner);
-    JobRecord sent = adopted;
-    auto written = co_await m_store.write(std::move(sent));
+    JobRecord next = adopted;
+    const auto sent = m_dependencies.clock.bootNow();
+    auto written = co_await m_store.write(std::move(next));
     m_dependencies.log.info(
             "job_adopted",
             {{"job", adopted.id},
@@ -583,7 +595,9 @@
         requestLookUp(adopted.id);
         co_return;
     }
-    add(valueOf(std::move(written)), valueOf(std::move(items)));
+    add(valueOf(std::move(written)), valueOf(std::move(items)), sent);
+    if (const JobPtr job = find(adopted.id))
+        job->readLease.recordTakeover(m_dependencies.clock.bootNow());
 }
 
 } // namespace pistachiofall
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -46,8 +46,9 @@
     /// Starts the loop that adopts orphans.
     void start();
 
-    /// Starts to run a job that this instance has just stored or adopted.
-    void add(JobRecord record, std::vector<JobItem> items);
+    /// Starts to run a job that this instance has stored, or that the store names it as the owner
+    /// of in its answer to a call sent at the time given, in the time of Clock::bootNow().
+    void add(JobRecord record, std::vector<JobItem> items, SteadyTime confirmed);
 
     /// Requests a look-up of a job that may be an orphan, or that may belong to this instance after
     /// a write without a response. The read is retried until the store responds. The job is then
@@ -66,8 +67,8 @@
     /// Starts no more items, cancels those that are running, and writes finished results at once.
     void stop();
 
-    /// The state of a job for readers, as confirmed by the store within the last 2 s (MaxReadAge).
-    /// Nothing if this instance does not own the job or the store does not respond.
+    /// The state of a job for readers, under the read lease or as read from the store. Nothing if
+    /// this instance does not own the job or the store does not respond.
     boost::asio::awaitable<std::optional<JobRecord>> currentRecord(std::string id);
 
     const std::string &owner() const { return m_owner; }
--- a/src/serving/jobservice.cpp
+++ b/src/serving/jobservice.cpp
@@ -14,9 +14,6 @@
 
 constexpr std::size_t MaxItems = 200;
 constexpr std::size_t MaxReadBytes = 1'000'000;
-// Lifetime of a cached record: reads of one job by several callers, or in quick succession, cause
-// one read of the store.
-constexpr milliseconds RecordCacheTtl{250};
 // Interval at which a waiting read checks for new results.
 constexpr milliseconds ResultPollInterval{700};
 constexpr milliseconds RetryAfter{300};
@@ -80,6 +77,7 @@
     record.owner = m_runner.owner();
     std::vector<JobItem> copies = valueOf(items);
     const auto deadline = std::min(request.deadline, request.arrival + SubmitTimeout);
+    const auto sent = m_dependencies.clock.bootNow();
     auto stored = co_await m_store.create(std::move(record), std::move(copies), deadline);
     if (isOk(stored)) {
         m_dependencies.log.info("job_accepted",
@@ -87,7 +85,7 @@
                                  {"organisation", request.organisation},
                                  {"items", std::uint64_t{valueOf(items).size()}}});
         m_dependencies.metrics.counter("jobs_accepted_total").add();
-        m_runner.add(valueOf(std::move(stored)), valueOf(std::move(items)));
+        m_runner.add(valueOf(std::move(stored)), valueOf(std::move(items)), sent);
         HttpHeaders headers = jsonHeaders();
         std::string body = "{}";
         co_await exchange.respond(202, std::move(headers), std::move(body));
@@ -115,6 +113,7 @@
                                                      std::vector<JobItem> items)
 {
     std::string id = request.metadata.requestId;
+    const auto sent = m_dependencies.clock.bootNow();
     auto record = co_await m_store.read(std::move(id));
     if (!isOk(record)) {
         // The job exists, so a response that says it was not accepted would be wrong. The caller
@@ -137,7 +136,7 @@
                              {"owner", valueOf(record).owner},
                              {"revision", valueOf(record).revision}});
     if (valueOf(record).owner == m_runner.owner() && valueOf(record).isOpen())
-        m_runner.add(valueOf(std::move(record)), std::move(items));
+        m_runner.add(valueOf(std::move(record)), std::move(items), sent);
     HttpHeaders headers = jsonHeaders();
     std::string body = "{}";
     co_await exchange.respond(202, std::move(headers), std::move(body));
@@ -162,38 +161,59 @@
 {
     std::string ownId = id;
     auto own = co_await m_runner.currentRecord(std::move(ownId));
-    if (own)
+    if (own) {
+        logRead("own", *own);
         co_return std::move(*own);
+    }
     if (!owner.empty() && owner != m_runner.owner()) {
         std::string askedId = id;
         auto ownerReply = co_await m_ownerReader(std::move(owner), std::move(askedId));
         if (isOk(ownerReply)) {
             JobRecord incomplete = valueOf(std::move(ownerReply));
+            logRead("owner", incomplete);
             co_return co_await m_store.completeResults(std::move(incomplete));
         }
     }
-    co_return co_await m_store.read(std::move(id));
+    auto stored = co_await m_store.read(std::move(id));
+    if (isOk(stored))
+        logRead("store", valueOf(stored));
+    co_return stored;
+}
+
+void JobService::logRead(std::string_view source, const JobRecord &record)
+{
+    m_dependencies.metrics.counter("job_reads_total", {{"source", std::string(source)}}).add();
+    m_dependencies.log.info("job_read",
+                            {{"job", record.id},
+                             {"source", source},
+                             {"owner", record.owner},
+                             {"revision", record.revision},
+                             {"results", std::uint64_t{record.resultCount()}}});
 }
 
-// Returns the job as read at minReadTime or later; a cached record of a closed job is always valid.
-// NotFound also for a job of another organisation.
+// NotFound also for a job of another organisation. A cached record of a closed job is always valid.
 asio::awaitable<Result<std::shared_ptr<const JobRecord>>>
-JobService::findRecord(std::string id, std::string organisation, SteadyTime minReadTime)
+JobService::findRecord(std::string id, std::string organisation, RecordAge age)
 {
     const Error unknown{ErrorCode::NotFound, "no job '" + id + "'"};
-    std::shared_ptr<const JobRecord> record;
-    const auto cached = m_recordCache.find(id);
-    std::string owner;
-    if (cached != m_recordCache.end()) {
-        owner = cached->second.record->owner;
-        if (cached->second.read >= minReadTime || !cached->second.record->isOpen())
-            record = cached->second.record;
-    }
-    if (!record) {
+    std::shared_ptr<const JobRecord> cached;
+    const auto found = m_recordCache.find(id);
+    if (found != m_recordCache.end())
+        cached = found->second.record;
+    std::shared_ptr<const JobRecord> record = cached;
+    if (!cached || (age == RecordAge::Newest && cached->isOpen())) {
+        std::string owner = cached ? cached->owner : std::string();
         auto read = co_await readNewest(id, std::move(owner));
         if (!isOk(read))
             co_return errorOf(read).code == ErrorCode::NotFound ? unknown : errorOf(read);
         record = std::make_shared<const JobRecord>(valueOf(std::move(read)));
+        if (cached && record->resultCount() < cached->resultCount()) {
+            m_dependencies.log.warning("job_read_older",
+                                       {{"job", id},
+                                        {"results", std::uint64_t{record->resultCount()}},
+                                        {"shown", std::uint64_t{cached->resultCount()}}});
+            co_return Error{ErrorCode::Unavailable, "the job was read in an older state"};
+        }
         cacheRecord(record);
     }
     if (record->organisation != organisation)
@@ -206,9 +226,8 @@
 {
     const auto begin = m_dependencies.clock.now();
     const auto waitUntil = begin + call.wait;
-    auto minReadTime = begin - RecordCacheTtl;
     for (;;) {
-        auto record = co_await findRecord(call.jobId, organisation, minReadTime);
+        auto record = co_await findRecord(call.jobId, organisation, RecordAge::Newest);
         if (!isOk(record) && errorOf(record).code == ErrorCode::NotFound) {
             m_dependencies.log.warning("job_unknown",
                                        {{"job", call.jobId}, {"organisation", organisation}});
@@ -226,7 +245,6 @@
         if (call.position >= job.results.size() && job.isOpen() && now < waitUntil) {
             const auto left = std::chrono::ceil<milliseconds>(waitUntil - now);
             co_await sleepFor(std::min(left, ResultPollInterval));
-            minReadTime = m_dependencies.clock.now() - RecordCacheTtl;
             continue;
         }
         std::vector<JobResult> results;
@@ -248,8 +266,7 @@
 asio::awaitable<void> JobService::readBody(ServerExchange &exchange, ItemBodyCall call,
                                            std::string organisation)
 {
-    const auto minReadTime = m_dependencies.clock.now() - RecordCacheTtl;
-    auto record = co_await findRecord(call.jobId, organisation, minReadTime);
+    auto record = co_await findRecord(call.jobId, organisation, RecordAge::Any);
     Result<std::vector<JobItem>> items = Error{ErrorCode::NotFound, "no job '" + call.jobId + "'"};
     if (isOk(record)) {
         const auto owned = m_runner.find(call.jobId);
--- a/src/serving/jobservice.h
+++ b/src/serving/jobservice.h
@@ -50,13 +50,21 @@
         SteadyTime read{};
     };
 
+    enum class RecordAge {
+        /// As read after the call began, so that no read shows less than an earlier one.
+        Newest,
+        /// As read at any time, for what never changes.
+        Any,
+    };
+
     boost::asio::awaitable<Result<std::shared_ptr<const JobRecord>>>
-    findRecord(std::string id, std::string organisation, SteadyTime minReadTime);
+    findRecord(std::string id, std::string organisation, RecordAge age);
     boost::asio::awaitable<void> respondToDuplicate(ServerExchange &exchange, OnlineRequest request,
                                                     std::vector<JobItem> items);
     boost::asio::awaitable<void> respondUnavailable(ServerExchange &exchange, std::string_view call,
                                                     std::string id, Error error);
     boost::asio::awaitable<Result<JobRecord>> readNewest(std::string id, std::string owner);
+    void logRead(std::string_view source, const JobRecord &record);
     void cacheRecord(std::shared_ptr<const JobRecord> record);
 
     ServingDependencies m_dependencies;
--- a/src/serving/jobstore.cpp
+++ b/src/serving/jobstore.cpp
@@ -28,13 +28,6 @@
     return id + '.' + std::to_string(part);
 }
 
-// Whether the error guarantees that the store did not apply the write.
-bool isCertainlyNotApplied(const Error &error)
-{
-    return error.code == ErrorCode::Unavailable || error.code == ErrorCode::RateLimited
-            || error.code == ErrorCode::InvalidArgument;
-}
-
 // Returns how many of the record's results fit, those in parts included. At least one result is put
 // into the job object, even if it exceeds the limit by itself, and stored results always count.
 std::size_t countFittingResults(const JobRecord &record, std::size_t maxBytes)
@@ -53,6 +46,12 @@
 
 } // namespace
 
+bool isCertainlyNotApplied(const Error &error)
+{
+    return error.code == ErrorCode::Unavailable || error.code == ErrorCode::RateLimited
+            || error.code == ErrorCode::InvalidArgument;
+}
+
 JobStore::JobStore(const Clock &clock, DecisionLog &log, std::shared_ptr<ObjectSpace> space,
                    std::size_t maxObjectBytes)
     : m_clock(clock)
--- a/src/serving/jobstore.h
+++ b/src/serving/jobstore.h
@@ -18,6 +18,9 @@
 
 namespace pistachiofall {
 
+/// Whether the error of a write guarantees that the store has not applied it and will not.
+bool isCertainlyNotApplied(const Error &error);
+
 /// Reads and writes batch jobs in the store. A job consists of one or more objects with its items
 /// and of the job object, which also holds the results. The job exists once the job object exists.
 /// Each update of the job object is conditional on its revision, so that two owners cannot both
--- a/src/serving/ownedjob.h
+++ b/src/serving/ownedjob.h
@@ -2,6 +2,7 @@
 
 #include "coord/coordtimes.h"
 #include "fleet/promptpart.h"
+#include "fleet/readlease.h"
 #include "http/endpointcall.h"
 #include "serving/jobitem.h"
 #include "serving/jobrecord.h"
@@ -50,10 +51,11 @@
     std::vector<JobResult> unwritten;
     /// When the job is due. Jobs due earlier get slots first.
     SteadyTime due{};
-    /// When the store last confirmed that this instance owns the job and that it is open.
+    /// When the last call was sent whose answer showed that this instance owns the job and that it
+    /// is open, in the time of Clock::bootNow().
     SteadyTime confirmed{};
-    /// When the store last acknowledged a write or answered a read of the job.
-    SteadyTime acknowledged{};
+    /// Whether reads are answered from memory.
+    ReadLease readLease;
     SteadyTime oldestUnwritten{};
     bool isWriting = false;
     /// Set when this instance no longer runs the job: it is complete, has ended, is no longer
@@ -63,10 +65,10 @@
     std::size_t finishedCount() const { return record.results.size() + unwritten.size(); }
 
     /// Applies a state returned by a read or by an acknowledged write, and removes the results that
-    /// it contains from the unwritten ones. Reads and writes of a job overlap, so a read may return
-    /// the results of a write before the write is acknowledged. Returns false, without a change, if
-    /// a newer state is known.
-    bool applyStored(JobRecord stored, SteadyTime now);
+    /// it contains from the unwritten ones. The call was sent at the time given. Reads and writes
+    /// of a job overlap, so a read may return the results of a write before the write is
+    /// acknowledged. Returns false, without a change, if a newer state is known.
+    bool applyStored(JobRecord stored, SteadyTime sent);
 };
 
 } // namespace pistachiofall
--- a/tests/serving/ownedjobtest.cpp
+++ b/tests/serving/ownedjobtest.cpp
@@ -48,7 +48,7 @@
     LONGS_EQUAL(1, job.unwritten.size());
     STRCMP_EQUAL("c", job.unwritten[0].itemId.c_str());
     LONGS_EQUAL(3, job.finishedCount());
-    CHECK(job.acknowledged == Start + seconds{1});
+    CHECK(job.confirmed == Start + seconds{1});
 }
 
 // Guards against an acknowledged write that replaces a newer state, such as the end of the job.
