Show a job that nobody runs after a late takeover, failing

What callers see: items of an accepted job are never listed, though endpoints are free.

Trace: an owner froze for 2.9 s; the write by which another instance took its job over got no answer and was applied by the store a few seconds later. Meanwhile the owner was back, so that the instance that had tried dropped the matter, and the owner released the job when it saw the other's name. system.jobreads plays it and fails.

--- a/tests/system/jobreadstest.cpp
+++ b/tests/system/jobreadstest.cpp
@@ -224,6 +224,20 @@
         CHECK(atOwner->items.size() >= shown->items.size());
 }
 
+// Guards against a job that nobody runs because a takeover that seemed to fail was applied later,
+// when its owner was back.
+TEST(JobReads, JobIsRunThoughATakeoverIsAppliedLate)
+{
+    ReadFleet reads(2, 4, 200);
+    reads.startReaders();
+    reads.fleet().setStore("late-writes");
+    pause(reads.fleet(), 0, milliseconds{2600});
+    std::this_thread::sleep_for(milliseconds{500});
+    reads.fleet().setStore("ok");
+    CHECK(reads.waitComplete(seconds{25}));
+    STRCMP_EQUAL("", reads.firstRegress().c_str());
+}
+
 // Guards against reads that go back while owners are paused, killed or cut off from answers.
 TEST(JobReads, NoReadGoesBackBesideFaults)
 {
