--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -40,6 +40,8 @@
 constexpr milliseconds FirstAdoptionDelay{700};
 constexpr milliseconds AdoptionDelayAfterLoss{300};
 constexpr milliseconds AdoptionPollInterval{200};
+// Interval between two reads of a job that may still come to belong to this instance.
+constexpr milliseconds LookUpInterval{1000};
 constexpr unsigned UnprocessableStatus = 422;
 constexpr unsigned MinServerErrorStatus = 500;
 
@@ -500,7 +502,12 @@
 
 void JobRunner::requestLookUp(const std::string &id)
 {
-    m_pendingLookUps.insert(id);
+    m_pendingLookUps.try_emplace(id);
+}
+
+void JobRunner::requestLookUp(const std::string &id, UncertainWrite write)
+{
+    m_pendingLookUps[id] = {write, {}};
 }
 
 // Whether an open job has no live owner. A job of this instance that does not run here is an orphan
@@ -514,17 +521,34 @@
 
 asio::awaitable<void> JobRunner::processLookUps()
 {
-    const std::set<std::string> ids = m_pendingLookUps;
-    for (const std::string &each : ids) {
-        std::string id = each;
-        auto record = co_await m_store.read(std::move(id));
-        const bool isUnknown = !isOk(record) && errorOf(record).code != ErrorCode::NotFound;
-        if (isUnknown)
-            continue;
-        m_pendingLookUps.erase(each);
-        if (isOk(record) && valueOf(record).isOpen() && isOrphan(valueOf(record)))
-            co_await adopt(valueOf(std::move(record)));
+    const auto now = m_dependencies.clock.now();
+    std::vector<std::string> ids;
+    for (const auto &[id, pending] : m_pendingLookUps) {
+        if (pending.next <= now)
+            ids.push_back(id);
     }
+    for (std::string &id : ids)
+        co_await lookUp(std::move(id));
+}
+
+asio::awaitable<void> JobRunner::lookUp(std::string id)
+{
+    std::string asked = id;
+    auto record = co_await m_store.read(std::move(asked));
+    const auto pending = m_pendingLookUps.find(id);
+    const bool isAnswered = isOk(record) || errorOf(record).code == ErrorCode::NotFound;
+    if (!isAnswered || pending == m_pendingLookUps.end())
+        co_return;
+    const auto now = m_dependencies.clock.now();
+    const std::optional<UncertainWrite> write = pending->second.write;
+    const auto revision =
+            isOk(record) ? std::optional<std::uint64_t>(valueOf(record).revision) : std::nullopt;
+    if (!write || write->isSettled(revision, now))
+        m_pendingLookUps.erase(pending);
+    else
+        pending->second.next = now + LookUpInterval;
+    if (isOk(record) && valueOf(record).isOpen() && isOrphan(valueOf(record)))
+        co_await adopt(valueOf(std::move(record)));
 }
 
 void JobRunner::expediteAdoption()
@@ -592,9 +616,13 @@
              {"from", previousOwner},
              {"outcome", isOk(written) ? std::string("taken") : errorOf(written).message}});
     if (!isOk(written)) {
-        requestLookUp(adopted.id);
+        if (isCertainlyNotApplied(errorOf(written)) || errorOf(written).code == ErrorCode::Conflict)
+            requestLookUp(adopted.id);
+        else
+            requestLookUp(adopted.id, UncertainWrite(adopted.revision, m_dependencies.clock.now()));
         co_return;
     }
+    m_pendingLookUps.erase(adopted.id);
     add(valueOf(std::move(written)), valueOf(std::move(items)), sent);
     if (const JobPtr job = find(adopted.id))
         job->readLease.recordTakeover(m_dependencies.clock.bootNow());
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/uncertainwrite.h"
 #include "serving/jobstore.h"
 #include "serving/onlineservice.h"
 #include "serving/ownedjob.h"
@@ -50,10 +51,12 @@
     /// of in its answer to a call sent at the time given, in the time of Clock::bootNow().
     void add(JobRecord record, std::vector<JobItem> items, SteadyTime confirmed);
 
-    /// Requests a look-up of a job that may be an orphan, or that may belong to this instance after
-    /// a write without a response. The read is retried until the store responds. The job is then
-    /// adopted if it is open and no live process runs it.
+    /// Requests a look-up of a job that may be an orphan. The read is retried until the store
+    /// responds. The job is then adopted if it is open and no live process runs it.
     void requestLookUp(const std::string &id);
+    /// As requestLookUp(), for a job that may belong to this instance by a write without a
+    /// response. The look-up is repeated until the write is settled.
+    void requestLookUp(const std::string &id, UncertainWrite write);
 
     /// Starts pending items in free slots, jobs with the earliest due time first.
     void startPendingItems();
@@ -77,6 +80,11 @@
 
 private:
     using JobPtr = std::shared_ptr<OwnedJob>;
+    struct LookUp
+    {
+        std::optional<UncertainWrite> write;
+        SteadyTime next{};
+    };
     /// Orders jobs by due time, then by id.
     using DueOrderKey = std::tuple<SteadyTime, std::string>;
 
@@ -98,6 +106,7 @@
     boost::asio::awaitable<void> runAdoptionLoop();
     boost::asio::awaitable<void> adoptOrphans();
     boost::asio::awaitable<void> processLookUps();
+    boost::asio::awaitable<void> lookUp(std::string id);
     bool isOrphan(const JobRecord &record) const;
     boost::asio::awaitable<void> adopt(JobRecord record);
 
@@ -108,7 +117,7 @@
     Callbacks m_callbacks;
     std::map<std::string, JobPtr> m_jobs;
     std::set<DueOrderKey> m_dueOrder;
-    std::set<std::string> m_pendingLookUps;
+    std::map<std::string, LookUp> m_pendingLookUps;
     SteadyTime m_nextAdoption{};
     bool m_isStopping = false;
     bool m_isStartingItems = false;
