Take endpoints out that announce in an answer that they leave

What callers see: requests that are sent to an endpoint long after it has said that it leaves break off when it does.

Cause: no source read the announcement; only the endpoint's entry in the store counted, which may say otherwise, lapse or be out of reach.

Change: the adapter reads the header as a fact about the process of the endpoint. Peers learn it with the next report. A request that waits is rejected at once when the last endpoint of its service goes, unless it may have run.

--- a/src/fleet/endpointpool.cpp
+++ b/src/fleet/endpointpool.cpp
@@ -77,8 +77,10 @@
         isNew = true;
     }
     const auto position =
-            m_entries.try_emplace(endpoint.id, Entry{endpoint, {}, {}, {}, {}, {}, {}, {}}).first;
+            m_entries.try_emplace(endpoint.id, Entry{endpoint, {}, {}, {}, {}, {}, {}, {}, false})
+                    .first;
     Entry &entry = position->second;
+    entry.isLeaving = m_leaving.contains({endpoint.id, endpoint.startedAt});
     const bool isChanged = isNew || entry.endpoint.isDraining != endpoint.isDraining
             || entry.endpoint.address != endpoint.address;
     entry.endpoint = endpoint;
@@ -214,7 +216,8 @@
 
 bool EndpointPool::isServing(const Entry &entry) const
 {
-    return !entry.endpoint.isDraining && !m_evacuated.contains(entry.endpoint.failureDomain);
+    return !entry.endpoint.isDraining && !entry.isLeaving
+            && !m_evacuated.contains(entry.endpoint.failureDomain);
 }
 
 bool EndpointPool::isUsable(const Entry &entry, const PlacementRequest &request,
@@ -347,6 +350,15 @@
     return freeSlots;
 }
 
+bool EndpointPool::markLeaving(const EndpointIncarnation &endpoint, SteadyTime now)
+{
+    const bool isNew = m_leaving.add(endpoint, now);
+    const auto found = m_entries.find(endpoint.id);
+    if (found != m_entries.end() && found->second.endpoint.startedAt == endpoint.startedAt)
+        found->second.isLeaving = true;
+    return isNew;
+}
+
 bool EndpointPool::accepts(const std::string &id, const std::string &service) const
 {
     const auto found = m_entries.find(id);
--- a/src/fleet/endpointpool.h
+++ b/src/fleet/endpointpool.h
@@ -6,6 +6,7 @@
 #include "fleet/endpointhealth.h"
 #include "fleet/endpointusage.h"
 #include "fleet/fleetendpoint.h"
+#include "fleet/leavingendpoints.h"
 #include "fleet/placement.h"
 #include "fleet/servingconfig.h"
 
@@ -76,6 +77,17 @@
     /// that have no online request.
     int slotCount(const std::string &service, SteadyTime now) const;
     int availableOnlineSlots(const std::string &service, SteadyTime now) const;
+    /// The process of an endpoint has announced that it leaves: it gets nothing new, whatever its
+    /// entry says. Returns whether this is news.
+    bool markLeaving(const EndpointIncarnation &endpoint, SteadyTime now);
+    /// The announcements to tell peers.
+    std::vector<EndpointIncarnation> recentlyLeaving(SteadyTime now) const
+    {
+        return m_leaving.recent(now);
+    }
+    /// Forgets old announcements. To be called periodically.
+    void removeExpired(SteadyTime now) { m_leaving.removeExpired(now); }
+
     /// Whether the endpoint is in the pool, of that service and accepts requests.
     bool accepts(const std::string &id, const std::string &service) const;
     /// Returns how many endpoints of the service accept requests, including those that are in
@@ -95,6 +107,8 @@
         /// a peer's report changes only a few.
         EndpointUsage peerTotal;
         SteadyTime lastFull{};
+        /// The endpoint has announced that it leaves.
+        bool isLeaving = false;
 
         void setPeerUsage(const std::string &peer, const EndpointUsage &usage);
         EndpointUsage total() const;
@@ -113,6 +127,7 @@
     std::map<std::string, Entry> m_entries;
     std::map<std::string, std::map<std::string, EndpointUsage>> m_peerUsage;
     std::set<std::string> m_evacuated;
+    LeavingEndpoints m_leaving;
 };
 
 } // namespace pistachiofall
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -265,8 +265,10 @@
         }
         co_return;
     }
-    if (m_dependencies.protocol.classify(valueOf(responseHead), item.id) != ResponseKind::Success) {
-        handleFailureResponse(job, index, valueOf(responseHead), placement);
+    const ResponseKind kind = m_dependencies.protocol.classify(valueOf(responseHead), item.id);
+    m_dependencies.leavingNotices.recordResponse(endpoint, valueOf(responseHead), kind);
+    if (kind != ResponseKind::Success) {
+        handleFailureResponse(job, index, valueOf(responseHead), kind);
         co_return;
     }
     EventSplitter splitter;
@@ -339,15 +341,14 @@
 }
 
 void JobRunner::handleFailureResponse(const JobPtr &job, std::size_t index,
-                                      const AnswerHead &responseHead, const Placement &placement)
+                                      const AnswerHead &responseHead, ResponseKind kind)
 {
     ItemProgress &progress = job->progress[index];
     const JobItem &item = job->items[index];
-    const ResponseKind kind = m_dependencies.protocol.classify(responseHead, item.id);
     progress.notBefore = m_dependencies.clock.now() + RetryDelay;
     progress.call->cancel();
     if (kind == ResponseKind::WrongEndpoint || kind == ResponseKind::Unverified)
-        m_dependencies.board.recordFailure(placement.endpoint.id, m_dependencies.clock.now());
+        m_dependencies.board.recordFailure(progress.endpoint, m_dependencies.clock.now());
     if (kind != ResponseKind::Failure)
         return;
     if (responseHead.status == UnprocessableStatus) {
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -97,7 +97,7 @@
     void noteEndpointEnd(const JobPtr &job, std::size_t index, const FleetEndpoint &endpoint);
     std::chrono::milliseconds retryDelay(const JobPtr &job, std::size_t index) const;
     void handleFailureResponse(const JobPtr &job, std::size_t index, const AnswerHead &responseHead,
-                               const Placement &placement);
+                               ResponseKind kind);
     void finishItem(const JobPtr &job, std::size_t index, JobResult result);
     boost::asio::awaitable<void> writeResults(JobPtr job);
     boost::asio::awaitable<bool> reconcile(JobPtr job);
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -225,7 +225,10 @@
         co_return;
     }
     attempt.responseHead = valueOf(std::move(responseHead));
-    switch (m_dependencies.protocol.classify(attempt.responseHead, request.metadata.requestId)) {
+    const ResponseKind kind =
+            m_dependencies.protocol.classify(attempt.responseHead, request.metadata.requestId);
+    m_dependencies.leavingNotices.recordResponse(endpoint, attempt.responseHead, kind);
+    switch (kind) {
     case ResponseKind::Success:
         break;
     case ResponseKind::Failure: {
--- a/src/serving/onlineservice.h
+++ b/src/serving/onlineservice.h
@@ -8,6 +8,7 @@
 #include "http/serverexchange.h"
 #include "metrics/metricsregistry.h"
 #include "serving/disconnectsignal.h"
+#include "serving/leavingnotices.h"
 #include "serving/onlinerequest.h"
 #include "serving/promptguard.h"
 #include "serving/scheduler.h"
@@ -32,6 +33,7 @@
     QuotaLimiter &quotas;
     Scheduler &scheduler;
     PromptGuard &promptGuard;
+    LeavingNotices &leavingNotices;
     std::shared_ptr<EndpointClient> client;
     /// The failure domain of this instance.
     std::string failureDomain;
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -45,6 +45,9 @@
     PlacementRequest placement;
     std::optional<Placement> granted;
     bool isCallerGone = false;
+    bool bypassesAdmission = false;
+    /// The last endpoint of the service has gone.
+    bool hasNoEndpoint = false;
 };
 
 Scheduler::Scheduler(const asio::any_io_executor &executor, const Clock &clock, EndpointPool &board,
@@ -109,6 +112,7 @@
     const std::uint64_t id = m_nextId++;
     const auto waiter = std::make_shared<Waiter>(m_executor);
     waiter->placement = std::move(request.placement);
+    waiter->bypassesAdmission = request.bypassesAdmission;
     m_waiters[id] = waiter;
     m_queue.add({id, service, request.priority, request.startBy, request.deadline});
     m_callbacks.usageChanged();
@@ -131,6 +135,8 @@
         release(waiter->granted->endpoint.id, service, WorkClass::Online, milliseconds{0});
     if (waiter->isCallerGone)
         co_return SlotRefusal{SlotRefusalReason::CallerGone, milliseconds{0}};
+    if (waiter->hasNoEndpoint)
+        co_return SlotRefusal{SlotRefusalReason::NoEndpoint, NoEndpointRetryAfter};
     co_return SlotRefusal{SlotRefusalReason::DeadlinePassed,
                           computeRetryAfter(load(service), milliseconds{0}, hash)};
 }
@@ -199,6 +205,8 @@
     const auto now = m_clock.now();
     bool hasGranted = false;
     for (const std::string &service : m_queue.services()) {
+        if (m_board.endpointCount(service) == 0)
+            refuseWaiting(service);
         for (const WaitingRequest &waiting : m_queue.ordered(service, now)) {
             const auto waiter = m_waiters.at(waiting.id);
             auto placement = m_board.placeOnline(waiter->placement, now);
@@ -218,6 +226,19 @@
         m_callbacks.usageChanged();
 }
 
+// Requests that may have run, or whose response has begun, wait for another endpoint.
+void Scheduler::refuseWaiting(const std::string &service)
+{
+    for (const WaitingRequest &waiting : m_queue.ordered(service, m_clock.now())) {
+        const auto waiter = m_waiters.at(waiting.id);
+        if (waiter->bypassesAdmission)
+            continue;
+        waiter->hasNoEndpoint = true;
+        waiter->timer.cancel();
+        m_queue.remove(waiting.id);
+    }
+}
+
 void Scheduler::preemptWhereFull()
 {
     for (const auto &[endpoint, use] : m_board.localUsage()) {
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -92,6 +92,7 @@
 
     void runUpdate();
     void dispatch();
+    void refuseWaiting(const std::string &service);
     void preemptWhereFull();
     std::chrono::milliseconds meanHold(const std::string &service) const;
 
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -12,6 +12,7 @@
 #include "serving/jobformat.h"
 #include "serving/jobrunner.h"
 #include "serving/jobservice.h"
+#include "serving/leavingnotices.h"
 #include "serving/promptguard.h"
 #include "serving/storewatchers.h"
 #include "settings/loadfleetsettings.h"
@@ -131,6 +132,7 @@
     QuotaLimiter quotas;
     Scheduler scheduler;
     PromptGuard promptGuard;
+    LeavingNotices leavingNotices;
     FleetPeers peers;
     ConfigHolder config;
     const std::shared_ptr<EndpointClient> client;
@@ -159,6 +161,7 @@
     , quotas(settings.quotaWindow)
     , scheduler(context.get_executor(), clock, board, metrics)
     , promptGuard(clock, log, metrics)
+    , leavingNotices(clock, log, metrics, *protocol, board)
     , peers(context.get_executor(), clock, log, metrics, peerFromSettings(settings),
             randomIncarnation())
     , config(*protocol, log, [this](const ServingConfig::Ptr &newest) { configChanged(newest); })
@@ -179,8 +182,17 @@
 
 ServingDependencies ServingInstance::Data::dependencies()
 {
-    return {clock,  *protocol, log,         metrics, board,
-            quotas, scheduler, promptGuard, client,  settings.failureDomain};
+    return {clock,
+            *protocol,
+            log,
+            metrics,
+            board,
+            quotas,
+            scheduler,
+            promptGuard,
+            leavingNotices,
+            client,
+            settings.failureDomain};
 }
 
 Result<Done> ServingInstance::Data::open(const SpaceFactory &spaceFactory)
@@ -222,6 +234,10 @@
     guardCallbacks.isTester = [this](PromptPart part) { return isFirstInstanceFor(part); };
     guardCallbacks.changed = [this] { peers.noteUsageChange(); };
     promptGuard.setCallbacks(std::move(guardCallbacks));
+    leavingNotices.setOnChange([this] {
+        peers.noteUsageChange();
+        scheduler.scheduleUpdate();
+    });
 
     Scheduler::Callbacks schedulerCallbacks;
     schedulerCallbacks.capacityChanged = [this] { jobs->startPendingItems(); };
@@ -321,6 +337,7 @@
 {
     watchers->handleReport(report);
     promptGuard.handleReport(peer, report);
+    leavingNotices.handleReport(peer, report);
     std::map<std::string, EndpointUsage> use;
     for (const auto &each : report.endpoints)
         use[each->endpoint] = {each->online, each->batch};
@@ -355,6 +372,7 @@
     report.storeAgeMs = static_cast<std::uint32_t>(storeAge().count());
     watchers->fillReport(report);
     promptGuard.fillReport(report);
+    leavingNotices.fillReport(report);
     for (const auto &[id, use] : board.localUsage()) {
         auto entry = std::make_unique<wire::EndpointUseT>();
         entry->endpoint = id;
@@ -581,6 +599,7 @@
         co_await sleepFor(TickInterval);
         watchers->tick();
         promptGuard.tick();
+        board.removeExpired(clock.now());
         quotas.setHistoryKnown(
                 peers.hasPeerWithUptimeAbove(settings.quotaWindow + QuotaMemoryMargin),
                 clock.now());
--- a/src/serving/servingprotocol.h
+++ b/src/serving/servingprotocol.h
@@ -67,6 +67,9 @@
     /// Classifies an endpoint's response to the request with the id.
     virtual ResponseKind classify(const AnswerHead &head, std::string_view requestId) const = 0;
 
+    /// Whether the endpoint announces in the response that it leaves.
+    virtual bool announcesLeaving(const AnswerHead &head) const = 0;
+
     /// The items of a submitted job. InvalidArgument names what is invalid.
     virtual Result<std::vector<JobItem>> decodeJob(std::string_view body) const = 0;
     /// The response to a read of results: the number of items of the job, the position of the next
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -144,6 +144,10 @@
 struct PromptPartMarkBuilder;
 struct PromptPartMarkT;
 
+struct LeavingEndpoint;
+struct LeavingEndpointBuilder;
+struct LeavingEndpointT;
+
 struct FleetReport;
 struct FleetReportBuilder;
 struct FleetReportT;
@@ -3970,6 +3974,87 @@
 
 flatbuffers::Offset<PromptPartMark> CreatePromptPartMark(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartMarkT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct LeavingEndpointT : public flatbuffers::NativeTable {
+  typedef LeavingEndpoint TableType;
+  std::string endpoint{};
+  int64_t startedAt = 0;
+};
+
+struct LeavingEndpoint FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeavingEndpointT NativeTableType;
+  typedef LeavingEndpointBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_STARTEDAT = 6
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  int64_t startedAt() const {
+    return GetField<int64_t>(VT_STARTEDAT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<int64_t>(verifier, VT_STARTEDAT, 8) &&
+           verifier.EndTable();
+  }
+  LeavingEndpointT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LeavingEndpointT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LeavingEndpoint> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LeavingEndpointBuilder {
+  typedef LeavingEndpoint Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(LeavingEndpoint::VT_ENDPOINT, endpoint);
+  }
+  void add_startedAt(int64_t startedAt) {
+    fbb_.AddElement<int64_t>(LeavingEndpoint::VT_STARTEDAT, startedAt, 0);
+  }
+  explicit LeavingEndpointBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeavingEndpoint> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeavingEndpoint>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpoint(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    int64_t startedAt = 0) {
+  LeavingEndpointBuilder builder_(_fbb);
+  builder_.add_startedAt(startedAt);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+struct LeavingEndpoint::Traits {
+  using type = LeavingEndpoint;
+  static auto constexpr Create = CreateLeavingEndpoint;
+};
+
+inline flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpointDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    int64_t startedAt = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return pistachiofall::wire::CreateLeavingEndpoint(
+      _fbb,
+      endpoint__,
+      startedAt);
+}
+
+flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FleetReportT : public flatbuffers::NativeTable {
   typedef FleetReport TableType;
   std::unique_ptr<pistachiofall::wire::FleetMemberT> sender{};
@@ -3986,6 +4071,7 @@
   std::unique_ptr<pistachiofall::wire::WatchMark> endpointMark{};
   std::unique_ptr<pistachiofall::wire::WatchMark> evacuationMark{};
   std::vector<std::unique_ptr<pistachiofall::wire::PromptPartMarkT>> promptParts{};
+  std::vector<std::unique_ptr<pistachiofall::wire::LeavingEndpointT>> leavingEndpoints{};
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4010,7 +4096,8 @@
     VT_CONFIGMARK = 24,
     VT_ENDPOINTMARK = 26,
     VT_EVACUATIONMARK = 28,
-    VT_PROMPTPARTS = 30
+    VT_PROMPTPARTS = 30,
+    VT_LEAVINGENDPOINTS = 32
   };
   const pistachiofall::wire::FleetMember *sender() const {
     return GetPointer<const pistachiofall::wire::FleetMember *>(VT_SENDER);
@@ -4054,6 +4141,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>> *promptParts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>> *>(VT_PROMPTPARTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>> *leavingEndpoints() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>> *>(VT_LEAVINGENDPOINTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -4079,6 +4169,9 @@
            VerifyOffset(verifier, VT_PROMPTPARTS) &&
            verifier.VerifyVector(promptParts()) &&
            verifier.VerifyVectorOfTables(promptParts()) &&
+           VerifyOffset(verifier, VT_LEAVINGENDPOINTS) &&
+           verifier.VerifyVector(leavingEndpoints()) &&
+           verifier.VerifyVectorOfTables(leavingEndpoints()) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4132,6 +4225,9 @@
   void add_promptParts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>>> promptParts) {
     fbb_.AddOffset(FleetReport::VT_PROMPTPARTS, promptParts);
   }
+  void add_leavingEndpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>>> leavingEndpoints) {
+    fbb_.AddOffset(FleetReport::VT_LEAVINGENDPOINTS, leavingEndpoints);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4158,11 +4254,13 @@
     const pistachiofall::wire::WatchMark *configMark = nullptr,
     const pistachiofall::wire::WatchMark *endpointMark = nullptr,
     const pistachiofall::wire::WatchMark *evacuationMark = nullptr,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>>> promptParts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>>> promptParts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>>> leavingEndpoints = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configVersion(configVersion);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_leavingEndpoints(leavingEndpoints);
   builder_.add_promptParts(promptParts);
   builder_.add_evacuationMark(evacuationMark);
   builder_.add_endpointMark(endpointMark);
@@ -4197,11 +4295,13 @@
     const pistachiofall::wire::WatchMark *configMark = nullptr,
     const pistachiofall::wire::WatchMark *endpointMark = nullptr,
     const pistachiofall::wire::WatchMark *evacuationMark = nullptr,
-    const std::vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>> *promptParts = nullptr) {
+    const std::vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>> *promptParts = nullptr,
+    const std::vector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>> *leavingEndpoints = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>>(*organisations) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*queues) : 0;
   auto promptParts__ = promptParts ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>>(*promptParts) : 0;
+  auto leavingEndpoints__ = leavingEndpoints ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>>(*leavingEndpoints) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       sender,
@@ -4217,7 +4317,8 @@
       configMark,
       endpointMark,
       evacuationMark,
-      promptParts__);
+      promptParts__,
+      leavingEndpoints__);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6004,6 +6105,35 @@
       _ends);
 }
 
+inline LeavingEndpointT *LeavingEndpoint::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LeavingEndpointT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LeavingEndpoint::UnPackTo(LeavingEndpointT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = startedAt(); _o->startedAt = _e; }
+}
+
+inline flatbuffers::Offset<LeavingEndpoint> LeavingEndpoint::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLeavingEndpoint(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeavingEndpointT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _startedAt = _o->startedAt;
+  return pistachiofall::wire::CreateLeavingEndpoint(
+      _fbb,
+      _endpoint,
+      _startedAt);
+}
+
 inline FleetReportT::FleetReportT(const FleetReportT &o)
       : sender((o.sender) ? new pistachiofall::wire::FleetMemberT(*o.sender) : nullptr),
         incarnation(o.incarnation),
@@ -6023,6 +6153,8 @@
   for (const auto &queues_ : o.queues) { queues.emplace_back((queues_) ? new pistachiofall::wire::ServiceQueueT(*queues_) : nullptr); }
   promptParts.reserve(o.promptParts.size());
   for (const auto &promptParts_ : o.promptParts) { promptParts.emplace_back((promptParts_) ? new pistachiofall::wire::PromptPartMarkT(*promptParts_) : nullptr); }
+  leavingEndpoints.reserve(o.leavingEndpoints.size());
+  for (const auto &leavingEndpoints_ : o.leavingEndpoints) { leavingEndpoints.emplace_back((leavingEndpoints_) ? new pistachiofall::wire::LeavingEndpointT(*leavingEndpoints_) : nullptr); }
 }
 
 inline FleetReportT &FleetReportT::operator=(FleetReportT o) FLATBUFFERS_NOEXCEPT {
@@ -6040,6 +6172,7 @@
   std::swap(endpointMark, o.endpointMark);
   std::swap(evacuationMark, o.evacuationMark);
   std::swap(promptParts, o.promptParts);
+  std::swap(leavingEndpoints, o.leavingEndpoints);
   return *this;
 }
 
@@ -6066,6 +6199,7 @@
   { auto _e = endpointMark(); if (_e) _o->endpointMark = std::unique_ptr<pistachiofall::wire::WatchMark>(new pistachiofall::wire::WatchMark(*_e)); }
   { auto _e = evacuationMark(); if (_e) _o->evacuationMark = std::unique_ptr<pistachiofall::wire::WatchMark>(new pistachiofall::wire::WatchMark(*_e)); }
   { auto _e = promptParts(); if (_e) { _o->promptParts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->promptParts[_i] = std::unique_ptr<pistachiofall::wire::PromptPartMarkT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = leavingEndpoints(); if (_e) { _o->leavingEndpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leavingEndpoints[_i] = std::unique_ptr<pistachiofall::wire::LeavingEndpointT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6090,6 +6224,7 @@
   auto _endpointMark = _o->endpointMark ? _o->endpointMark.get() : nullptr;
   auto _evacuationMark = _o->evacuationMark ? _o->evacuationMark.get() : nullptr;
   auto _promptParts = _o->promptParts.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>> (_o->promptParts.size(), [](size_t i, _VectorArgs *__va) { return CreatePromptPartMark(*__va->__fbb, __va->__o->promptParts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _leavingEndpoints = _o->leavingEndpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>> (_o->leavingEndpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateLeavingEndpoint(*__va->__fbb, __va->__o->leavingEndpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       _sender,
@@ -6105,7 +6240,8 @@
       _configMark,
       _endpointMark,
       _evacuationMark,
-      _promptParts);
+      _promptParts,
+      _leavingEndpoints);
 }
 
 inline FleetReportReplyT::FleetReportReplyT(const FleetReportReplyT &o)
--- a/tests/fleet/endpointpooltest.cpp
+++ b/tests/fleet/endpointpooltest.cpp
@@ -211,3 +211,25 @@
     pool.update(draining, now);
     CHECK_FALSE(pool.accepts("e1", "chat"));
 }
+
+// Guards against an endpoint that gets requests after it has announced that it leaves, because its
+// entry still says otherwise, lapses and returns, or is listed again.
+TEST(EndpointPool, ALeavingEndpointStaysOutWhateverItsEntrySays)
+{
+    FleetEndpoint endpoint = chatEndpoint("e1", 2);
+    endpoint.startedAt = 100;
+    pool.update(endpoint, now);
+    CHECK(pool.markLeaving({"e1", 100}, now));
+    CHECK_FALSE(pool.placeOnline(request, now).has_value());
+    CHECK_EQUAL(0, pool.endpointCount("chat"));
+    pool.update(endpoint, now);
+    CHECK_FALSE(pool.placeBatch(request, 0, now).has_value());
+    pool.remove("e1");
+    pool.update(endpoint, now);
+    CHECK_FALSE(pool.placeOnline(request, now).has_value());
+    // Another process under the same id, and a late claim about the one before.
+    endpoint.startedAt = 200;
+    pool.update(endpoint, now);
+    CHECK_FALSE(pool.markLeaving({"e1", 100}, now));
+    CHECK(pool.placeOnline(request, now).has_value());
+}
