--- a/standins/common/sealedengine.cpp
+++ b/standins/common/sealedengine.cpp
@@ -17,6 +17,13 @@
 
 constexpr std::size_t EndlessPieceBytes = 1024;
 
+std::uint16_t callerPort(HttpExchange &exchange)
+{
+    boost::system::error_code error;
+    const auto caller = exchange.socket().remote_endpoint(error);
+    return error ? 0 : caller.port();
+}
+
 std::string chunkOf(const std::string &text)
 {
     static constexpr const char *Digits = "0123456789abcdef";
@@ -95,7 +102,7 @@
         co_await exchange.respond(421, "text/plain", "");
         co_return;
     }
-    const auto repeated = m_repeated.find(&exchange.socket());
+    const auto repeated = m_repeated.find(callerPort(exchange));
     if (repeated != m_repeated.end()) {
         std::string refusal = repeated->second;
         m_repeated.erase(repeated);
@@ -123,6 +130,11 @@
         co_await write(exchange, std::move(text));
         co_return;
     }
+    if (mode == "empty") {
+        std::string text = headOf(200, requestId, "Content-Length: 0\r\n");
+        co_await write(exchange, std::move(text));
+        co_return;
+    }
     if (exchange.path().find("/stream/") != std::string::npos) {
         co_await stream(exchange, std::move(requestId), mode == "close");
         co_return;
@@ -140,7 +152,7 @@
 {
     const std::string text = headOf(503, requestId, "Not-Run: 1\r\nContent-Length: 0\r\n");
     if (isRepeated)
-        m_repeated[&exchange.socket()] = text;
+        m_repeated[callerPort(exchange)] = text;
     std::string sent = text;
     co_await write(exchange, std::move(sent));
 }
--- a/standins/common/sealedengine.h
+++ b/standins/common/sealedengine.h
@@ -19,6 +19,7 @@
 /// stream after N events. GET /control/mode?name=NAME&count=N sets how the next N requests are
 /// answered:
 /// - error: with 500 and a text;
+/// - empty: with 200 and no body, also where a stream is due;
 /// - refuse: with 503, as not run;
 /// - refuse-again: as refuse, and the same bytes come once more before the answer to the next
 ///   request on the connection;
@@ -67,8 +68,8 @@
     std::string m_mode;
     int m_modeCount = 0;
     bool m_isLeaving = false;
-    /// Refusals that come once more on their connection.
-    std::map<const void *, std::string> m_repeated;
+    /// Refusals that come once more on their connection, by the port of the caller.
+    std::map<std::uint16_t, std::string> m_repeated;
 };
 
 } // namespace pistachiofall::standins
