Keep connections to endpoints after successes only

What callers see: a request that an endpoint runs is told as not run, and runs again.

Cause: a faulty endpoint may send an earlier refusal once more. On a connection that was kept after the refusal it arrives where the answer to the next attempt of the same request is expected, with the same id. Requests that may not be repeated are not affected: each has a connection of its own.

Evidence: FaultyEndpoint RefusalThatComesAgainIsNotTheAnswerToTheNextAttempt, the request ran twice before and once now.

Change: a connection is used again only after an answer below 400. It costs one new connection for each refusal or error.

--- a/src/http/endpointcall.cpp
+++ b/src/http/endpointcall.cpp
@@ -19,6 +19,7 @@
 
 // What writeTimeout refers to.
 constexpr std::size_t MinWriteProgress = 1024;
+constexpr unsigned MinErrorStatus = 400;
 
 } // namespace
 
@@ -33,6 +34,7 @@
     { }
 
     bool isPoolable() const { return options.idempotency == Idempotency::Idempotent; }
+    bool isReusable() const;
     bool attach(std::shared_ptr<HttpStream> newStream);
     std::shared_ptr<HttpStream> detach();
     void finish();
@@ -49,6 +51,7 @@
     RequestSent sent = RequestSent::Nothing;
     std::optional<detail::AnswerReader> reader;
     HttpStream::TimePoint firstByteDeadline;
+    unsigned status = 0;
     bool hasBodyByte = false;
     bool isPooled = false;
     // The endpoint had closed the pooled connection, or did so while the request was on its way.
@@ -76,13 +79,20 @@
     return std::exchange(stream, nullptr);
 }
 
+// A faulty endpoint may send a refusal once more, which would be taken for the answer to a further
+// attempt of the same request. The connection is therefore kept after successes only.
+bool EndpointCall::Data::isReusable() const
+{
+    return isPoolable() && status < MinErrorStatus && reader->isReusable();
+}
+
 // Ends a call whose answer is complete.
 void EndpointCall::Data::finish()
 {
     const std::shared_ptr<HttpStream> finished = detach();
     if (!finished)
         return;
-    if (isPoolable() && reader->isReusable())
+    if (isReusable())
         shared->pool.put(address, options.trafficClass, finished);
     else
         finished->close();
@@ -164,6 +174,7 @@
     Result<AnswerHead> head = co_await reader->readHead(firstByteDeadline);
     if (!isOk(head))
         co_return fail(CallStage::FirstByte, errorOf(head));
+    status = valueOf(head).status;
     if (reader->isComplete())
         finish();
     co_return valueOf(std::move(head));
