Continue a broken stream with a stream only

What callers see: a stream that broke off ends as if it were complete.

Cause: once events had been sent, any answer below 300 of the next endpoint was taken for the rest of the stream; an empty one completed it.

Evidence: FaultyEndpoint EmptyAnswerOfTheNextEndpointDoesNotCompleteTheStream, a complete stream with 5 of 30 events before; all 30 now.

Change: the answer must be an event stream. The text of an error was kept out already; a test holds that.

--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -36,6 +36,11 @@
     return std::chrono::duration_cast<milliseconds>(time - now);
 }
 
+bool isEventStream(const AnswerHead &head)
+{
+    return head.status < 300 && head.headers.get("Content-Type").starts_with("text/event-stream");
+}
+
 } // namespace
 
 /// The state of one request across its attempts.
@@ -295,9 +300,7 @@
 asio::awaitable<void> OnlineService::forwardResponse(ServerExchange &exchange,
                                                      RequestContext &context, Attempt &attempt)
 {
-    const bool isStream =
-            attempt.responseHead.headers.get("Content-Type").starts_with("text/event-stream")
-            && attempt.responseHead.status < 300 && exchange.canStream();
+    const bool isStream = isEventStream(attempt.responseHead) && exchange.canStream();
     if (isStream || context.isStreaming)
         co_await forwardStream(exchange, context, attempt);
     else
@@ -338,7 +341,7 @@
                                                    RequestContext &context, Attempt &attempt)
 {
     // Once events have been sent to the caller, the response must be a stream again.
-    if (context.isStreaming && attempt.responseHead.status >= 300) {
+    if (context.isStreaming && !isEventStream(attempt.responseHead)) {
         noteFailure(context, attempt, "the endpoint did not resume the stream", true);
         co_return;
     }
