End answers of endpoints that have no end

What callers see: a batch item is never finished while its endpoint sends bytes that are no answer; its owner's memory grows with them.

Cause: interim answers were skipped without a count, and the body of a stream had no bound on its size. Events without an id were taken as data of a batch item.

Change: at most 16 interim answers; at most 16 MB of a response to a request and 2 MB to an item, twice what the store could hold; data without an id in a stream that may be resumed is malformed. A header was bounded already (32 KB).

--- a/src/http/answerreader.cpp
+++ b/src/http/answerreader.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::uint32_t MaxHeaderBytes = 32 * 1024;
+// An endpoint that sends more of them is faulty, and may do so without an end.
+constexpr int MaxInterimAnswers = 16;
 
 Error readError(const boost::system::error_code &error)
 {
@@ -88,9 +90,15 @@
 asio::awaitable<Result<AnswerHead>> AnswerReader::readHead(HttpStream::TimePoint deadline)
 {
     AnswerHead head;
+    int interimAnswers = 0;
     do {
-        if (m_parser->parser->is_header_done())
+        if (m_parser->parser->is_header_done()) {
+            if (++interimAnswers > MaxInterimAnswers)
+                co_return Error{ErrorCode::ProtocolError,
+                                "more than " + std::to_string(MaxInterimAnswers)
+                                        + " interim answers"};
             beginMessage();
+        }
         const Result<Done> parsed = co_await parseHead(deadline);
         if (!isOk(parsed))
             co_return errorOf(parsed);
--- a/src/http/endpointcall.cpp
+++ b/src/http/endpointcall.cpp
@@ -21,6 +21,12 @@
 constexpr std::size_t MinWriteProgress = 1024;
 constexpr unsigned MinErrorStatus = 400;
 
+Error tooLong(std::size_t maxBytes)
+{
+    return {ErrorCode::TooLarge,
+            "the answer is longer than " + std::to_string(maxBytes) + " bytes"};
+}
+
 } // namespace
 
 struct EndpointCall::Data
@@ -53,6 +59,7 @@
     HttpStream::TimePoint firstByteDeadline;
     unsigned status = 0;
     bool hasBodyByte = false;
+    std::size_t bodyBytes = 0;
     bool isPooled = false;
     // The endpoint had closed the pooled connection, or did so while the request was on its way.
     bool isStale = false;
@@ -229,6 +236,9 @@
         co_return data.fail(data.hasBodyByte ? CallStage::Body : CallStage::FirstByte,
                             errorOf(piece));
     data.hasBodyByte = true;
+    data.bodyBytes += valueOf(piece).size();
+    if (data.bodyBytes > data.options.maxBodyBytes)
+        co_return data.fail(CallStage::Body, tooLong(data.options.maxBodyBytes));
     if (data.reader->isComplete())
         data.finish();
     co_return valueOf(std::move(piece));
@@ -244,10 +254,7 @@
         if (valueOf(piece).empty())
             co_return body;
         if (valueOf(piece).size() > maxBytes - body.size())
-            co_return m_data->fail(
-                    CallStage::Body,
-                    {ErrorCode::TooLarge,
-                     "the answer is longer than " + std::to_string(maxBytes) + " bytes"});
+            co_return m_data->fail(CallStage::Body, tooLong(maxBytes));
         body += valueOf(piece);
     }
 }
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds EventTimeout{1500};
 // The deadline sent to the endpoint with each item; far longer than any run.
 constexpr milliseconds ItemTimeout{60000};
+// Twice the size of an object of the store, which could not hold a longer result.
+constexpr std::size_t MaxItemResponseBytes = std::size_t{2} << 20U;
 constexpr milliseconds RetryDelay{200};
 constexpr int MaxRetryDoublings = 4;
 // Interval of the periodic scan for orphans. The loss of an owner triggers a scan at once; this one
@@ -242,6 +244,7 @@
     options.firstByteTimeout = FirstEventTimeout;
     options.gapTimeout = EventTimeout;
     options.acceptsEndByClose = true;
+    options.maxBodyBytes = MaxItemResponseBytes;
     progress.call = m_dependencies.client->prepare(endpoint.address, std::move(sent), options);
     const auto call = progress.call;
     m_dependencies.log.info("item_placed",
@@ -277,6 +280,9 @@
     const auto onEvent = [&](const StreamEvent &event) {
         if (event.id && progress.lastEventId && *event.id != *progress.lastEventId + 1)
             isInOrder = false;
+        // An item could not be resumed after data without an id.
+        if (event.hasData && !event.id)
+            isInOrder = false;
         if (!isInOrder || !event.hasData)
             return;
         if (progress.hasOutput)
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -203,6 +203,7 @@
             isRetryable(*request.route) ? Idempotency::Idempotent : Idempotency::NonIdempotent;
     options.connectTimeout = std::min(ConnectTimeout, remaining);
     options.acceptsEndByClose = true;
+    options.maxBodyBytes = MaxResponseBytes;
     options.writeTimeout = remaining;
     options.firstByteTimeout = remaining;
     options.gapTimeout = remaining;
@@ -352,6 +353,9 @@
     const auto onEvent = [&](const StreamEvent &event) {
         if (event.id && lastId && *event.id <= *lastId)
             isInOrder = false;
+        // A stream could not be resumed after data without an id.
+        if (!event.id && event.hasData && context.request.route->isResumable)
+            isInOrder = false;
         if (event.id)
             lastId = event.id;
         ready += event.bytes;
