Meet the linter in the new files

Generated messages are included by wire/messages.h, which exempts them; names of test constants and an unused declaration follow the linter. No change of behaviour.

--- a/src/fleet/leavingendpoints.h
+++ b/src/fleet/leavingendpoints.h
@@ -2,11 +2,11 @@
 
 #include "coord/coordtimes.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace pistachiofall {
@@ -18,7 +18,10 @@
     /// The start of the process, in milliseconds since the Unix epoch; 0 if unknown.
     std::int64_t startedAt = 0;
 
-    auto operator<=>(const EndpointIncarnation &) const = default;
+    bool operator<(const EndpointIncarnation &other) const
+    {
+        return std::tie(id, startedAt) < std::tie(other.id, other.startedAt);
+    }
 };
 
 /// The endpoints that have announced in an answer that they leave, whatever their entries in the
--- a/src/serving/leavingnotices.h
+++ b/src/serving/leavingnotices.h
@@ -7,7 +7,7 @@
 #include "metrics/metricsregistry.h"
 #include "serving/responsekind.h"
 #include "serving/servingprotocol.h"
-#include "wire/messages_generated.h"
+#include "wire/messages.h"
 
 #include <functional>
 #include <string>
--- a/src/serving/promptguard.h
+++ b/src/serving/promptguard.h
@@ -5,7 +5,7 @@
 #include "fleet/fleetendpoint.h"
 #include "fleet/promptquarantine.h"
 #include "metrics/metricsregistry.h"
-#include "wire/messages_generated.h"
+#include "wire/messages.h"
 
 #include <chrono>
 #include <functional>
--- a/src/serving/storewatchers.h
+++ b/src/serving/storewatchers.h
@@ -11,7 +11,7 @@
 #include "serving/scheduler.h"
 #include "serving/servingprotocol.h"
 #include "settings/fleetsettings.h"
-#include "wire/messages_generated.h"
+#include "wire/messages.h"
 
 #include <array>
 #include <chrono>
--- a/tests/fleet/promptquarantinetest.cpp
+++ b/tests/fleet/promptquarantinetest.cpp
@@ -11,8 +11,8 @@
 
 constexpr PromptPart Shared = 1;
 constexpr PromptPart Harmful = 2;
-const PromptQuarantine::IsTester IsTester = [](PromptPart) { return true; };
-const PromptQuarantine::IsTester IsNoTester = [](PromptPart) { return false; };
+const PromptQuarantine::IsTester isTester = [](PromptPart) { return true; };
+const PromptQuarantine::IsTester isNoTester = [](PromptPart) { return false; };
 
 } // namespace
 
@@ -24,7 +24,7 @@
 
     bool isRejected(const PromptParts &parts)
     {
-        return quarantine.findQuarantined(parts, IsTester, now).has_value();
+        return quarantine.findQuarantined(parts, isTester, now).has_value();
     }
     // Several endpoints end one after the other before they answer a request with the parts.
     void endEndpoints(int count, const PromptParts &parts)
@@ -66,7 +66,7 @@
     }
     CHECK(isRejected({Harmful}));
     exchange(quarantine, peers[0]);
-    CHECK(peers[0].findQuarantined({Harmful}, IsTester, now).has_value());
+    CHECK(peers[0].findQuarantined({Harmful}, isTester, now).has_value());
 }
 
 // Guards against one end that counts several times because several requests or instances saw it.
@@ -148,18 +148,18 @@
 {
     endEndpoints(3, {Harmful});
     now += minutes{1};
-    CHECK(quarantine.findQuarantined({Harmful}, IsNoTester, now).has_value());
-    CHECK(!quarantine.admit({Harmful}, IsTester, now).has_value());
-    CHECK(quarantine.admit({Harmful}, IsTester, now).has_value());
+    CHECK(quarantine.findQuarantined({Harmful}, isNoTester, now).has_value());
+    CHECK(!quarantine.admit({Harmful}, isTester, now).has_value());
+    CHECK(quarantine.admit({Harmful}, isTester, now).has_value());
     now += seconds{1};
     quarantine.recordEnd({Harmful}, {nextEndpoint++, now});
     now += minutes{1};
     CHECK(isRejected({Harmful}));
     CHECK(quarantine.remaining(Harmful, now) > seconds{50});
     now += minutes{1};
-    CHECK(!quarantine.admit({Harmful}, IsTester, now).has_value());
+    CHECK(!quarantine.admit({Harmful}, isTester, now).has_value());
     quarantine.recordAnswer({Harmful}, now);
-    CHECK(!quarantine.findQuarantined({Harmful}, IsNoTester, now).has_value());
+    CHECK(!quarantine.findQuarantined({Harmful}, isNoTester, now).has_value());
 }
 
 // Guards against memory that grows with the parts, and against parts that are never forgotten.
--- a/tests/system/configtest.cpp
+++ b/tests/system/configtest.cpp
@@ -13,7 +13,6 @@
 using namespace pistachiofall::tests;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using std::chrono::steady_clock;
 
 namespace {
 
--- a/tests/system/faultyendpointtest.cpp
+++ b/tests/system/faultyendpointtest.cpp
@@ -18,7 +18,7 @@
 
 // What an instance may use beyond a process at rest, which has about 15 MB.
 constexpr int MaxMegabytes = 100;
-const std::vector<std::string> EndlessModes{"endless-head", "endless-interim", "endless-events",
+const std::vector<std::string> endlessModes{"endless-head", "endless-interim", "endless-events",
                                             "endless-bytes"};
 
 // The most memory that the process had so far.
@@ -133,7 +133,7 @@
 {
     SpaceFleet fleet(1);
     startOne(fleet, {"i-1"});
-    for (const std::string &mode : EndlessModes) {
+    for (const std::string &mode : endlessModes) {
         for (const char *target : {"/plain/x", "/talk/stream/x"}) {
             fleet.setAnswers("i-1", mode);
             const auto reply = fleet.call(0, "POST", target, mode + target, "hello");
@@ -152,7 +152,7 @@
     SpaceFleet fleet(1);
     startOne(fleet, {"i-1"});
     int number = 0;
-    for (const std::string &mode : EndlessModes) {
+    for (const std::string &mode : endlessModes) {
         fleet.setAnswers("i-1", mode);
         const std::string id = "job-" + std::to_string(++number);
         const std::string job = R"({"items":[{"id":"a","path":"/batch/stream/1","headers":)"
--- a/tests/system/promptparttest.cpp
+++ b/tests/system/promptparttest.cpp
@@ -15,7 +15,7 @@
 
 // A part is found after this many endpoints have ended; a few more requests may be on their way.
 constexpr int MaxEnds = 5;
-const std::vector<std::string> EngineArguments{"--deadly-part", "bad0", "--event-gap-ms", "5"};
+const std::vector<std::string> engineArguments{"--deadly-part", "bad0", "--event-gap-ms", "5"};
 
 // Three instances and three endpoints. An endpoint that ends is replaced by another one, as the
 // platform does.
@@ -61,7 +61,7 @@
     void startEndpoint()
     {
         const std::string id = "i-" + std::to_string(++m_started);
-        m_fleet.startEndpoint(id, EngineArguments);
+        m_fleet.startEndpoint(id, engineArguments);
         m_running.insert(id);
     }
 
