--- /dev/null
+++ b/src/serving/jobowners.cpp
@@ -0,0 +1,136 @@
+#include "serving/jobowners.h"
+
+#include "base/stablehash.h"
+#include "serving/jobformat.h"
+#include "wire/body.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace pistachiofall {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds PeerCallTimeout{500};
+// If the owner does not respond, the job is read from the store.
+constexpr milliseconds OwnerReadTimeout{300};
+// An owner that has not reached the store for this long is considered unable to write results, and
+// its jobs are adopted.
+constexpr milliseconds MaxOwnerStoreAge{2000};
+// An instance that has not reached the store for this long is not chosen to adopt jobs.
+constexpr milliseconds MaxAdopterStoreAge{1000};
+
+} // namespace
+
+JobOwners::JobOwners(const asio::any_io_executor &executor, DecisionLog &log, FleetPeers &peers,
+                     Callbacks callbacks)
+    : m_executor(executor)
+    , m_log(log)
+    , m_peers(peers)
+    , m_callbacks(std::move(callbacks))
+{ }
+
+// The owner has the form "name/incarnation".
+bool JobOwners::isOwnerAlive(const std::string &owner) const
+{
+    const auto slash = owner.rfind('/');
+    const std::string name = owner.substr(0, slash);
+    const auto incarnation = m_peers.incarnationOf(name);
+    if (!m_peers.isAlive(name) || !incarnation
+        || owner.substr(slash + 1) != std::to_string(*incarnation))
+        return false;
+    return name == m_peers.self().name || m_peers.storeAgeOf(name) < MaxOwnerStoreAge;
+}
+
+// The names, in sorted order, of the live instances that take callers and reach the store; the name
+// of this instance if there is none.
+std::vector<std::string> JobOwners::adopters() const
+{
+    const auto callers = m_peers.callerInstances();
+    std::vector<std::string> names;
+    for (const std::string &name : m_peers.aliveNames()) {
+        const bool takesCallers = std::find(callers.begin(), callers.end(), name) != callers.end();
+        const bool isSelf = name == m_peers.self().name;
+        const auto age = isSelf ? m_callbacks.storeAge() : m_peers.storeAgeOf(name);
+        if (takesCallers && age < MaxAdopterStoreAge && !(isSelf && m_callbacks.isStopping()))
+            names.push_back(name);
+    }
+    std::sort(names.begin(), names.end());
+    if (names.empty())
+        names.push_back(m_peers.self().name);
+    return names;
+}
+
+// Chooses the adopter by rendezvous hashing of the job id, so that the jobs of a lost instance are
+// spread over all adopters.
+bool JobOwners::handOver(const std::string &jobId)
+{
+    const auto names = adopters();
+    const auto chosen =
+            std::min_element(names.begin(), names.end(),
+                             [&jobId](const std::string &left, const std::string &right) {
+                                 return rendezvousRank(jobId, left) < rendezvousRank(jobId, right);
+                             });
+    const auto address = m_peers.addressOf(*chosen);
+    if (!address)
+        return false;
+    m_log.info("job_handed_over", {{"job", jobId}, {"to", *chosen}});
+    wire::JobNoticeT notice;
+    notice.jobId = jobId;
+    wire::BodyUnion body;
+    body.Set(std::move(notice));
+    asio::co_spawn(m_executor, notify(*address, std::move(body), jobId), asio::detached);
+    return true;
+}
+
+void JobOwners::notifyJobEnded(const std::string &jobId)
+{
+    for (const std::string &name : m_peers.aliveNames()) {
+        const auto address = m_peers.addressOf(name);
+        if (!address)
+            continue;
+        wire::JobEndedT ended;
+        ended.jobId = jobId;
+        wire::BodyUnion body;
+        body.Set(std::move(ended));
+        asio::co_spawn(m_executor, notify(*address, std::move(body), jobId), asio::detached);
+    }
+}
+
+asio::awaitable<Result<JobRecord>> JobOwners::fetchRecord(std::string owner, std::string jobId)
+{
+    const Error unknown{ErrorCode::Unavailable,
+                        "the owner '" + owner + "' did not return the state of the job"};
+    const auto address = m_peers.addressOf(owner.substr(0, owner.rfind('/')));
+    if (!address || !isOwnerAlive(owner))
+        co_return unknown;
+    wire::JobStateFetchT fetch;
+    fetch.jobId = std::move(jobId);
+    wire::BodyUnion body;
+    body.Set(std::move(fetch));
+    const auto reply = co_await m_peers.client().call(*address, std::move(body), OwnerReadTimeout);
+    const auto *data = isOk(reply) ? valueOf(reply).AsJobStateData() : nullptr;
+    if (data == nullptr || data->payload.empty())
+        co_return unknown;
+    co_return decodeJobText(std::string(data->payload.begin(), data->payload.end()));
+}
+
+// Sends a notification about a job to a peer, without a retry: the peer finds what a lost
+// notification would have told it by a later read of the store.
+asio::awaitable<void> JobOwners::notify(SocketAddress address, wire::BodyUnion body,
+                                        std::string jobId)
+{
+    const auto reply = co_await m_peers.client().call(address, std::move(body), PeerCallTimeout);
+    if (!isOk(reply))
+        m_log.warning(
+                "peer_not_told",
+                {{"job", jobId}, {"peer", address.toString()}, {"reason", errorOf(reply).message}});
+}
+
+} // namespace pistachiofall
--- /dev/null
+++ b/src/serving/jobowners.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/decisionlog.h"
+#include "base/result.h"
+#include "serving/fleetpeers.h"
+#include "serving/jobrecord.h"
+#include "wire/messages.h"
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+namespace pistachiofall {
+
+/// Knows which owners of jobs are alive and who takes over the jobs of the others, and talks to
+/// them. An owner has the form "name/incarnation". Not thread safe.
+class JobOwners
+{
+public:
+    struct Callbacks
+    {
+        /// The time since this instance last reached the store.
+        std::function<std::chrono::milliseconds()> storeAge;
+        /// Whether this instance is stopping, so that it takes over no jobs.
+        std::function<bool()> isStopping;
+    };
+
+    JobOwners(const boost::asio::any_io_executor &executor, DecisionLog &log, FleetPeers &peers,
+              Callbacks callbacks);
+
+    /// Whether the process of an owner is running and reaches the store, as far as this instance
+    /// knows.
+    bool isOwnerAlive(const std::string &owner) const;
+    /// The names, in sorted order, of the live instances that take callers and reach the store; the
+    /// name of this instance if there is none.
+    std::vector<std::string> adopters() const;
+    /// Tells the instance chosen to adopt an orphan. Returns false if this instance is chosen.
+    bool handOver(const std::string &jobId);
+    /// Tells all live instances that a caller has ended the job.
+    void notifyJobEnded(const std::string &jobId);
+    /// The state of a job as its owner knows it. Unavailable without an answer.
+    boost::asio::awaitable<Result<JobRecord>> fetchRecord(std::string owner, std::string jobId);
+
+private:
+    boost::asio::awaitable<void> notify(SocketAddress address, wire::BodyUnion body,
+                                        std::string jobId);
+
+    boost::asio::any_io_executor m_executor;
+    DecisionLog &m_log;
+    FleetPeers &m_peers;
+    Callbacks m_callbacks;
+};
+
+} // namespace pistachiofall
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -6,10 +6,11 @@
 #include "base/systemclock.h"
 #include "http/endpointclient.h"
 #include "http/httplistener.h"
-#include "serving/configholder.h"
+#include "serving/configfetcher.h"
 #include "serving/fleetpeers.h"
 #include "serving/ingress.h"
 #include "serving/jobformat.h"
+#include "serving/jobowners.h"
 #include "serving/jobrunner.h"
 #include "serving/jobservice.h"
 #include "serving/leavingnotices.h"
@@ -50,18 +51,10 @@
 };
 
 constexpr milliseconds TickInterval{50};
-constexpr milliseconds PeerCallTimeout{500};
-// If the owner does not respond, the job is read from the store.
-constexpr milliseconds OwnerReadTimeout{300};
 // The load balancer removes an instance after two failed readiness probes, one second apart.
 constexpr milliseconds BalancerDrainTime{2300};
 // The part of the grace period kept in reserve, so that the process exits before the period ends.
 constexpr milliseconds ShutdownReserve{700};
-// An owner that has not reached the store for this long is considered unable to write results, and
-// its jobs are adopted.
-constexpr milliseconds MaxOwnerStoreAge{2000};
-// An instance that has not reached the store for this long is not chosen to adopt jobs.
-constexpr milliseconds MaxAdopterStoreAge{1000};
 // A peer that has been up for the quota window plus this margin has seen a whole window of
 // requests.
 constexpr milliseconds QuotaMemoryMargin{500};
@@ -100,21 +93,13 @@
     void peerReported(const std::string &peer, const wire::FleetReportT &report);
     void peerLost(const std::string &peer, bool hasStopped);
     void fillReport(wire::FleetReportT &report);
-    void notifyJobEnded(const std::string &jobId);
     bool isFirstInstanceFor(PromptPart part) const;
-    bool isOwnerAlive(const std::string &owner) const;
-    std::vector<std::string> adopters() const;
-    bool handOver(const std::string &jobId);
     bool isReady() const;
     milliseconds storeAge() const;
 
     asio::awaitable<wire::BodyUnion> handlePeer(const wire::EnvelopeT &envelope);
     asio::awaitable<void> handleReady(ServerExchange &exchange);
     asio::awaitable<void> handleMetrics(ServerExchange &exchange);
-    asio::awaitable<void> fetchConfig(std::string peer, std::uint64_t version);
-    asio::awaitable<Result<JobRecord>> fetchRecordFromOwner(std::string owner, std::string jobId);
-    asio::awaitable<void> notifyPeer(SocketAddress address, wire::BodyUnion body,
-                                     std::string jobId);
     asio::awaitable<void> tick();
     asio::awaitable<void> waitForSignals();
     asio::awaitable<void> stopGracefully();
@@ -136,6 +121,8 @@
     FleetPeers peers;
     ConfigHolder config;
     const std::shared_ptr<EndpointClient> client;
+    ConfigFetcher configFetcher;
+    JobOwners jobOwners;
     std::unique_ptr<OnlineService> online;
     std::unique_ptr<JobStore> jobStore;
     std::unique_ptr<JobRunner> jobs;
@@ -148,7 +135,6 @@
     std::shared_ptr<HttpListener> readyListener;
     std::shared_ptr<HttpListener> metricsListener;
     bool isStopping = false;
-    bool isFetchingConfig = false;
 };
 
 ServingInstance::Data::Data(const FleetSettings &fleetSettings, std::string file,
@@ -166,6 +152,9 @@
             randomIncarnation())
     , config(*protocol, log, [this](const ServingConfig::Ptr &newest) { configChanged(newest); })
     , client(EndpointClient::create(context.get_executor(), {}, metrics))
+    , configFetcher(context.get_executor(), peers, config)
+    , jobOwners(context.get_executor(), log, peers,
+                {[this] { return storeAge(); }, [this] { return isStopping; }})
 { }
 
 // Requests that are in flight release their slots to the scheduler when they are destroyed, so they
@@ -217,16 +206,22 @@
     const std::string owner = settings.name + '/' + std::to_string(peers.incarnation());
     JobRunner::Callbacks runnerCallbacks;
     runnerCallbacks.config = [this] { return config.config(); };
-    runnerCallbacks.isOwnerAlive = [this](const std::string &name) { return isOwnerAlive(name); };
-    runnerCallbacks.scansForOrphans = [this] { return adopters().front() == settings.name; };
-    runnerCallbacks.handOver = [this](const std::string &jobId) { return handOver(jobId); };
+    runnerCallbacks.isOwnerAlive = [this](const std::string &name) {
+        return jobOwners.isOwnerAlive(name);
+    };
+    runnerCallbacks.scansForOrphans = [this] {
+        return jobOwners.adopters().front() == settings.name;
+    };
+    runnerCallbacks.handOver = [this](const std::string &jobId) {
+        return jobOwners.handOver(jobId);
+    };
     jobs = std::make_unique<JobRunner>(context.get_executor(), dependencies(), *jobStore, owner,
                                        std::move(runnerCallbacks));
     jobService = std::make_unique<JobService>(
             dependencies(), *jobStore, *jobs, *online,
-            [this](const std::string &jobId) { notifyJobEnded(jobId); },
+            [this](const std::string &jobId) { jobOwners.notifyJobEnded(jobId); },
             [this](std::string ownerName, std::string jobId) {
-                return fetchRecordFromOwner(std::move(ownerName), std::move(jobId));
+                return jobOwners.fetchRecord(std::move(ownerName), std::move(jobId));
             });
     ingress = std::make_unique<Ingress>(dependencies(), config, *online, *jobService);
 
@@ -260,8 +255,7 @@
     };
     peerCallbacks.membersChanged = [this] { membersChanged(); };
     peerCallbacks.configVersionSeen = [this](const std::string &peer, std::uint64_t version) {
-        if (version > config.version() && !isFetchingConfig)
-            asio::co_spawn(context, fetchConfig(peer, version), asio::detached);
+        configFetcher.noteVersion(peer, version);
     };
     peers.setCallbacks(std::move(peerCallbacks));
 }
@@ -412,109 +406,11 @@
     });
 }
 
-// The owner has the form "name/incarnation".
-bool ServingInstance::Data::isOwnerAlive(const std::string &owner) const
-{
-    const auto slash = owner.rfind('/');
-    const std::string name = owner.substr(0, slash);
-    const auto incarnation = peers.incarnationOf(name);
-    if (!peers.isAlive(name) || !incarnation
-        || owner.substr(slash + 1) != std::to_string(*incarnation))
-        return false;
-    return name == settings.name || peers.storeAgeOf(name) < MaxOwnerStoreAge;
-}
-
-// The names, in sorted order, of the live instances that take callers and reach the store; the name
-// of this instance if there is none.
-std::vector<std::string> ServingInstance::Data::adopters() const
-{
-    const auto callers = peers.callerInstances();
-    std::vector<std::string> names;
-    for (const std::string &name : peers.aliveNames()) {
-        const bool takesCallers = std::find(callers.begin(), callers.end(), name) != callers.end();
-        const bool isSelf = name == settings.name;
-        const auto age = isSelf ? storeAge() : peers.storeAgeOf(name);
-        if (takesCallers && age < MaxAdopterStoreAge && !(isSelf && isStopping))
-            names.push_back(name);
-    }
-    std::sort(names.begin(), names.end());
-    if (names.empty())
-        names.push_back(settings.name);
-    return names;
-}
-
-// Chooses the adopter by rendezvous hashing of the job id, so that the jobs of a lost instance are
-// spread over all adopters.
-bool ServingInstance::Data::handOver(const std::string &jobId)
-{
-    const auto names = adopters();
-    const auto chosen =
-            std::min_element(names.begin(), names.end(),
-                             [&jobId](const std::string &left, const std::string &right) {
-                                 return rendezvousRank(jobId, left) < rendezvousRank(jobId, right);
-                             });
-    const auto address = peers.addressOf(*chosen);
-    if (!address)
-        return false;
-    log.info("job_handed_over", {{"job", jobId}, {"to", *chosen}});
-    wire::JobNoticeT notice;
-    notice.jobId = jobId;
-    wire::BodyUnion body;
-    body.Set(std::move(notice));
-    asio::co_spawn(context, notifyPeer(*address, std::move(body), jobId), asio::detached);
-    return true;
-}
-
 bool ServingInstance::Data::isReady() const
 {
     return !isStopping && config.config() != nullptr && !board.ids().empty();
 }
 
-void ServingInstance::Data::notifyJobEnded(const std::string &jobId)
-{
-    for (const std::string &name : peers.aliveNames()) {
-        const auto address = peers.addressOf(name);
-        if (!address)
-            continue;
-        wire::JobEndedT ended;
-        ended.jobId = jobId;
-        wire::BodyUnion body;
-        body.Set(std::move(ended));
-        asio::co_spawn(context, notifyPeer(*address, std::move(body), jobId), asio::detached);
-    }
-}
-
-asio::awaitable<Result<JobRecord>> ServingInstance::Data::fetchRecordFromOwner(std::string owner,
-                                                                               std::string jobId)
-{
-    const Error unknown{ErrorCode::Unavailable,
-                        "the owner '" + owner + "' did not return the state of the job"};
-    const auto address = peers.addressOf(owner.substr(0, owner.rfind('/')));
-    if (!address || !isOwnerAlive(owner))
-        co_return unknown;
-    wire::JobStateFetchT fetch;
-    fetch.jobId = std::move(jobId);
-    wire::BodyUnion body;
-    body.Set(std::move(fetch));
-    const auto reply = co_await peers.client().call(*address, std::move(body), OwnerReadTimeout);
-    const auto *data = isOk(reply) ? valueOf(reply).AsJobStateData() : nullptr;
-    if (data == nullptr || data->payload.empty())
-        co_return unknown;
-    co_return decodeJobText(std::string(data->payload.begin(), data->payload.end()));
-}
-
-// Sends a notification about a job to a peer, without a retry: the peer finds what a lost
-// notification would have told it by a later read of the store.
-asio::awaitable<void> ServingInstance::Data::notifyPeer(SocketAddress address, wire::BodyUnion body,
-                                                        std::string jobId)
-{
-    const auto reply = co_await peers.client().call(address, std::move(body), PeerCallTimeout);
-    if (!isOk(reply))
-        log.warning(
-                "peer_not_told",
-                {{"job", jobId}, {"peer", address.toString()}, {"reason", errorOf(reply).message}});
-}
-
 asio::awaitable<wire::BodyUnion> ServingInstance::Data::handlePeer(const wire::EnvelopeT &envelope)
 {
     wire::BodyUnion reply;
@@ -549,27 +445,6 @@
     co_return reply;
 }
 
-asio::awaitable<void> ServingInstance::Data::fetchConfig(std::string peer, std::uint64_t version)
-{
-    const auto address = peers.addressOf(peer);
-    if (!address)
-        co_return;
-    isFetchingConfig = true;
-    // If the store is available, its watch delivers the change within this time.
-    co_await sleepFor(PeerCallTimeout / 2);
-    if (version > config.version()) {
-        wire::ConfigFetchT fetch;
-        fetch.knownVersion = config.version();
-        wire::BodyUnion body;
-        body.Set(fetch);
-        const auto reply = co_await peers.client().call(*address, std::move(body), PeerCallTimeout);
-        const auto *data = isOk(reply) ? valueOf(reply).AsConfigData() : nullptr;
-        if (data != nullptr && !data->payload.empty())
-            config.applyTextIfNewer(std::string(data->payload.begin(), data->payload.end()), peer);
-    }
-    isFetchingConfig = false;
-}
-
 asio::awaitable<void> ServingInstance::Data::handleReady(ServerExchange &exchange)
 {
     const bool isKnown = protocol->isReadinessProbe(exchange.path());
