--- a/tests/platform/platformprotocoltest.cpp
+++ b/tests/platform/platformprotocoltest.cpp
@@ -64,6 +64,27 @@
     CHECK(protocol.classify({421, {{"Instance", "i-2"}}}, "r1") == ResponseKind::WrongEndpoint);
 }
 
+// Guards against a part that belongs to one request only being taken for a shared one.
+TEST(PlatformProtocol, DecodesTheSharedPartsOfAPrompt)
+{
+    const auto partsOf = [this](const char *text) {
+        return protocol.decodeMetadata({{"Prompt-Prefix", text}}).sharedParts;
+    };
+    CHECK(partsOf("").empty());
+    CHECK(partsOf("aa:10").empty());
+    LONGS_EQUAL(2, partsOf("aa:10,bb:20,cc:30").size());
+    CHECK(partsOf("aa:10,cc:30") == partsOf(" aa:99, dd:1"));
+    CHECK(partsOf("aa:10,cc:30") != partsOf("bb:10,cc:30"));
+}
+
+// Guards against an announcement that is missed, or read from another value.
+TEST(PlatformProtocol, ReadsTheAnnouncementOfALeavingEndpoint)
+{
+    CHECK(protocol.announcesLeaving({503, {{"Not-Run", "1"}, {"server-leaving", "1"}}}));
+    CHECK_FALSE(protocol.announcesLeaving({200, {{"Server-Leaving", "0"}}}));
+    CHECK_FALSE(protocol.announcesLeaving({200, {{"Request-Id", "r1"}}}));
+}
+
 // Guards against batch job calls being treated as requests to forward.
 TEST(PlatformProtocol, DecodesJobCalls)
 {
