Tell overlapping reads of a job from reads that go back

What callers see: a read may get 503 though nothing went back.

Cause: of two reads that overlap at one instance, the one that began first may end last and show less than the other, which is allowed; it was taken for a read that goes back, and its record could replace the newer one. Found by reading the diff, no test shows it.

Change: such a read is answered by the newer record, which was read after it began.

--- a/src/serving/jobservice.cpp
+++ b/src/serving/jobservice.cpp
@@ -191,30 +191,44 @@
                              {"results", std::uint64_t{record.resultCount()}}});
 }
 
+// Caches the record as read after the time given and returns it, or a newer one that was read
+// meanwhile. Unavailable if it shows less than this instance had read before it asked.
+Result<std::shared_ptr<const JobRecord>> JobService::takeRead(JobRecord read, SteadyTime asked)
+{
+    const auto found = m_recordCache.find(read.id);
+    if (found == m_recordCache.end() || found->second.record->resultCount() <= read.resultCount()) {
+        auto record = std::make_shared<const JobRecord>(std::move(read));
+        cacheRecord(record);
+        return record;
+    }
+    if (found->second.read >= asked)
+        return found->second.record;
+    m_dependencies.log.warning("job_read_older",
+                               {{"job", read.id},
+                                {"results", std::uint64_t{read.resultCount()}},
+                                {"shown", std::uint64_t{found->second.record->resultCount()}}});
+    return Error{ErrorCode::Unavailable, "the job was read in an older state"};
+}
+
 // NotFound also for a job of another organisation. A cached record of a closed job is always valid.
 asio::awaitable<Result<std::shared_ptr<const JobRecord>>>
 JobService::findRecord(std::string id, std::string organisation, RecordAge age)
 {
     const Error unknown{ErrorCode::NotFound, "no job '" + id + "'"};
-    std::shared_ptr<const JobRecord> cached;
+    std::shared_ptr<const JobRecord> record;
     const auto found = m_recordCache.find(id);
     if (found != m_recordCache.end())
-        cached = found->second.record;
-    std::shared_ptr<const JobRecord> record = cached;
-    if (!cached || (age == RecordAge::Newest && cached->isOpen())) {
-        std::string owner = cached ? cached->owner : std::string();
+        record = found->second.record;
+    if (!record || (age == RecordAge::Newest && record->isOpen())) {
+        std::string owner = record ? record->owner : std::string();
+        const auto asked = m_dependencies.clock.now();
         auto read = co_await readNewest(id, std::move(owner));
         if (!isOk(read))
             co_return errorOf(read).code == ErrorCode::NotFound ? unknown : errorOf(read);
-        record = std::make_shared<const JobRecord>(valueOf(std::move(read)));
-        if (cached && record->resultCount() < cached->resultCount()) {
-            m_dependencies.log.warning("job_read_older",
-                                       {{"job", id},
-                                        {"results", std::uint64_t{record->resultCount()}},
-                                        {"shown", std::uint64_t{cached->resultCount()}}});
-            co_return Error{ErrorCode::Unavailable, "the job was read in an older state"};
-        }
-        cacheRecord(record);
+        auto taken = takeRead(valueOf(std::move(read)), asked);
+        if (!isOk(taken))
+            co_return errorOf(taken);
+        record = valueOf(std::move(taken));
     }
     if (record->organisation != organisation)
         co_return unknown;
--- a/src/serving/jobservice.h
+++ b/src/serving/jobservice.h
@@ -64,6 +64,7 @@
     boost::asio::awaitable<void> respondUnavailable(ServerExchange &exchange, std::string_view call,
                                                     std::string id, Error error);
     boost::asio::awaitable<Result<JobRecord>> readNewest(std::string id, std::string owner);
+    Result<std::shared_ptr<const JobRecord>> takeRead(JobRecord read, SteadyTime asked);
     void logRead(std::string_view source, const JobRecord &record);
     void cacheRecord(std::shared_ptr<const JobRecord> record);
 
