Compute the rank among close peers only when it decides

At rest each instance computed its rank among its close peers 60 times a second, each time with a count of its failure domain for each peer: the work grew with the square of the fleet. It is computed only when the store's confirmation is old enough to ask, and the report intervals once for all peers. Found by reading the diff; not measured at scale.

An error of an endpoint no longer clears a suspected part of a prompt: it says nothing about what the endpoint does with the prompt.

--- a/src/serving/fleetpeers.cpp
+++ b/src/serving/fleetpeers.cpp
@@ -112,22 +112,33 @@
     asio::co_spawn(m_executor, detectLostPeers(), asio::detached);
 }
 
+std::int64_t FleetPeers::countSameDomain() const
+{
+    return std::count_if(m_members.begin(), m_members.end(), [this](const auto &each) {
+        return each.second->peer.failureDomain == m_self.failureDomain;
+    });
+}
+
 milliseconds FleetPeers::reportInterval(const Member &member) const
 {
-    const auto memberCount = static_cast<std::int64_t>(m_members.size());
-    if (member.peer.failureDomain != m_self.failureDomain) {
-        const milliseconds interval =
-                ReportIntervalPerPeer * memberCount * memberCount / PeersWithShortInterval;
-        return std::clamp<milliseconds>(interval, MinReportInterval, MaxReportInterval);
-    }
-    const auto sameDomainCount =
-            std::count_if(m_members.begin(), m_members.end(), [this](const auto &each) {
-                return each.second->peer.failureDomain == m_self.failureDomain;
-            });
-    return std::clamp<milliseconds>(ReportIntervalPerPeer * sameDomainCount, MinReportInterval,
+    const bool isNear = member.peer.failureDomain == m_self.failureDomain;
+    return isNear ? nearReportInterval() : farReportInterval();
+}
+
+milliseconds FleetPeers::nearReportInterval() const
+{
+    return std::clamp<milliseconds>(ReportIntervalPerPeer * countSameDomain(), MinReportInterval,
                                     MaxReportInterval);
 }
 
+milliseconds FleetPeers::farReportInterval() const
+{
+    const auto memberCount = static_cast<std::int64_t>(m_members.size());
+    const milliseconds interval =
+            ReportIntervalPerPeer * memberCount * memberCount / PeersWithShortInterval;
+    return std::clamp<milliseconds>(interval, MinReportInterval, MaxReportInterval);
+}
+
 void FleetPeers::addMember(const FleetPeer &peer)
 {
     if (peer.name == m_self.name)
@@ -355,9 +366,12 @@
 
 std::vector<std::string> FleetPeers::closePeers() const
 {
+    const bool areNearClose = nearReportInterval() <= CloseReportInterval;
+    const bool areFarClose = farReportInterval() <= CloseReportInterval;
     std::vector<std::string> names;
     for (const auto &[name, member] : m_members) {
-        if (member->isAlive && !member->isLeaving && reportInterval(*member) <= CloseReportInterval)
+        const bool isNear = member->peer.failureDomain == m_self.failureDomain;
+        if (member->isAlive && !member->isLeaving && (isNear ? areNearClose : areFarClose))
             names.push_back(name);
     }
     return names;
--- a/src/serving/fleetpeers.h
+++ b/src/serving/fleetpeers.h
@@ -111,7 +111,12 @@
     wire::FleetReportT makeReport();
     void handleReply(const wire::FleetReportReplyT &reply, const std::string &peer);
     std::shared_ptr<Member> addOrFindMember(const wire::FleetMemberT &member);
+    std::int64_t countSameDomain() const;
+    /// The interval between two reports to a peer, to those in the own failure domain, and to the
+    /// others.
     std::chrono::milliseconds reportInterval(const Member &member) const;
+    std::chrono::milliseconds nearReportInterval() const;
+    std::chrono::milliseconds farReportInterval() const;
 
     boost::asio::any_io_executor m_executor;
     const Clock &m_clock;
--- a/src/serving/kindwatcher.cpp
+++ b/src/serving/kindwatcher.cpp
@@ -82,7 +82,7 @@
     start();
 }
 
-void KindWatcher::checkFreshness(std::size_t askRank)
+void KindWatcher::checkFreshness(const std::function<std::size_t()> &askRank)
 {
     // While calls fail, they are retried anyway.
     if (!m_hasListed || m_needsListing || m_failures > 0 || m_isAsking)
@@ -92,7 +92,7 @@
         restart(Restart::List, "a peer knows a newer change");
         return;
     }
-    if (m_freshness.shouldAsk(askRank, now))
+    if (m_freshness.shouldAsk(0, now) && m_freshness.shouldAsk(askRank(), now))
         asio::co_spawn(m_executor, askForChanges(), asio::detached);
 }
 
--- a/src/serving/kindwatcher.h
+++ b/src/serving/kindwatcher.h
@@ -48,9 +48,9 @@
     void start();
 
     /// Asks the store for changes if the freshness calls for it, and opens a new watch if this
-    /// instance lags behind its peers. The rank is that of WatchFreshness::shouldAsk(). To be
-    /// called periodically.
-    void checkFreshness(std::size_t askRank);
+    /// instance lags behind its peers. The rank is that of WatchFreshness::shouldAsk(), and is
+    /// computed only if it matters. To be called periodically.
+    void checkFreshness(const std::function<std::size_t()> &askRank);
 
     /// The last time when the store was known to be available: its last response, or now while a
     /// watch is open.
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -316,10 +316,11 @@
         noteCallFailure(context, attempt, failureOf(body));
         co_return;
     }
-    if (attempt.responseHead.status < MinServerErrorStatus) {
+    if (attempt.responseHead.status < MinServerErrorStatus)
         m_dependencies.board.recordSuccess(attempt.placement.endpoint.id);
+    // An error says nothing about what the endpoint does with the prompt.
+    if (attempt.responseHead.status < 300)
         m_dependencies.promptGuard.answered(context.request.metadata.sharedParts);
-    }
     context.isFinished = true;
     const auto completed = m_dependencies.clock.now();
     m_dependencies.metrics.histogram("request_seconds").record(completed - context.request.arrival);
--- a/src/serving/storewatchers.cpp
+++ b/src/serving/storewatchers.cpp
@@ -134,7 +134,7 @@
 {
     m_endpoints.removeExpired();
     for (KindWatcher *watcher : m_shared)
-        watcher->checkFreshness(askRank(watcher->kind()));
+        watcher->checkFreshness([this, watcher] { return askRank(watcher->kind()); });
 }
 
 // Endpoints and instances that start together cause many changes within a second, and each response
