Review, case 3: peers quarantine the sound prompt part beside the one that crashes servers (LOST)

Ten sound items at another machine are never sent. The stand-ins draw their ports below those of connections: two plays beside each other had drawn the same one.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,112 +1,130 @@
-// An item that can never be done, while the machine that owns its job is killed again and again:
-// how often does it reach a server?
+// One item has a prompt part that crashes servers. The items of another job share its other part,
+// which is sound, and arrive at another machine: are they finished?
 
 #include "../harness/scene.h"
 
 #include <algorithm>
-#include <map>
-#include <string>
 
 namespace {
 
 using namespace review;
 
 constexpr std::size_t Machines = 6;
+constexpr std::size_t Engines = 9;
 constexpr std::size_t ItemsOfJob = 10;
-constexpr std::size_t Kills = 3;
-// After the item has been answered 422. The other items of the job take 0.85 s.
-constexpr double KillAfter = 0.6;
-constexpr double RestartAfter = 3.5;
-constexpr double EndAfter = 16;
-// contact_ms
-constexpr double ContactSeconds = 3;
-constexpr std::size_t MaxUnprocessable = 3;
-constexpr int Unprocessable = 422;
-
-struct Takeover
+constexpr std::size_t DeadlyTaker = 0;
+constexpr std::size_t SoundTaker = 1;
+constexpr std::size_t CrashesSeen = 3;
+constexpr double CrashesWithin = 15;
+constexpr double SoundAfter = 0.5;
+// A crashed server is back after that time; its entry is removed after three heartbeats.
+constexpr double BackAfter = 3;
+constexpr double EntryRemovedAfter = 3.6;
+constexpr double FinishSeconds = 18;
+constexpr const char *SoundPart = "5c1e07a2:100";
+constexpr const char *DeadlyPart = "91bd3f06:110";
+
+/// A server that has crashed.
+struct Crash
 {
+    Engine *engine = nullptr;
     double time = 0;
-    std::string machine;
+    bool isBack = false;
+    bool isRemoved = false;
 };
 
-// The machine that the store names as the owner of the job.
-std::string ownerOf(Scene &scene, const std::string &job)
+/// Brings crashed servers back, each under a new name, while the scene goes on.
+class Servers
 {
-    const boost::json::object object = scene.store.get("pistachiofall-jobs", job);
-    for (const char *part : {"status", "spec"}) {
-        const auto *fields = object.contains(part) ? object.at(part).if_object() : nullptr;
-        if (fields == nullptr || !fields->contains("owner"))
-            continue;
-        const std::string owner = fields->at("owner").as_string().c_str();
-        if (!owner.empty())
-            return owner.substr(0, owner.find('/'));
+public:
+    explicit Servers(Scene &scene)
+        : m_scene(scene)
+    { }
+
+    std::size_t crashes() const { return m_crashes.size(); }
+
+    void run(double seconds)
+    {
+        const double end = m_scene.record.now() + seconds;
+        while (m_scene.record.now() < end) {
+            Scene::sleep(0.02);
+            findCrashes();
+            for (Crash &crash : m_crashes)
+                lookAfter(crash);
+        }
+    }
+
+private:
+    void findCrashes()
+    {
+        for (const auto &engine : m_scene.engines) {
+            const bool isKnown =
+                    std::any_of(m_crashes.begin(), m_crashes.end(),
+                                [&](const Crash &crash) { return crash.engine == engine.get(); });
+            if (engine->isDown() && !isKnown)
+                m_crashes.push_back({engine.get(), m_scene.record.now(), false, false});
+        }
+    }
+
+    void lookAfter(Crash &crash)
+    {
+        const double age = m_scene.record.now() - crash.time;
+        Engine::Settings settings = crash.engine->settings();
+        if (age > EntryRemovedAfter && !crash.isRemoved) {
+            m_scene.store.remove("servers", settings.id);
+            crash.isRemoved = true;
+        }
+        if (age > BackAfter && !crash.isBack) {
+            settings.id += "b";
+            auto next = std::make_unique<Engine>(settings, m_scene.record);
+            next->answerStatus = crash.engine->answerStatus;
+            next->registerAt(m_scene.store);
+            m_scene.engines.push_back(std::move(next));
+            crash.isBack = true;
+        }
     }
-    return {};
+
+    Scene &m_scene;
+    std::vector<Crash> m_crashes;
+};
+
+int answerTo(const Message &request)
+{
+    const bool isDeadly = request.header("Prompt-Prefix").find(DeadlyPart) != std::string::npos;
+    return Scene::hasTrouble() && isDeadly ? Engine::Crash : 0;
 }
 
 int play(Scene &scene)
 {
+    for (const auto &engine : scene.engines)
+        engine->answerStatus = answerTo;
     if (!scene.start())
         return Scene::NotRun;
-    Scene::sleep(ContactSeconds + 1);
-    const Job job = makeJob("30000000a6f3a6f3", ItemsOfJob);
-    const std::string poison = job.items.front().id;
-    for (const auto &engine : scene.engines)
-        engine->answerStatus = [poison](const std::string &id) {
-            return id == poison ? Unprocessable : 0;
-        };
-    if (submit(*scene.fleet, 0, job, scene.record) != 202)
+    Servers servers(scene);
+    Job mixed = makeJob("51000000a6f3a6f3", ItemsOfJob);
+    mixed.items.front().sharedParts = std::string(SoundPart) + "," + DeadlyPart;
+    if (submit(*scene.fleet, DeadlyTaker, mixed, scene.record) != 202)
         return Scene::NotRun;
     const double begin = scene.record.now();
-    // When a disruption of each machine last began or ended.
-    std::map<std::string, double> disrupted;
-    std::size_t kills = 0;
-    // The machines that are down, and when each is started again.
-    std::map<std::size_t, double> down;
-    std::size_t arrivals = 0;
-    std::size_t broken = 0;
-    double lastArrival = begin;
-    while (scene.record.now() < begin + EndAfter) {
-        Scene::sleep(0.01);
-        const double now = scene.record.now();
-        const std::string owner = ownerOf(scene, job.id);
-        std::size_t seen = 0;
-        for (const auto &engine : scene.engines) {
-            const auto runs = engine->runs();
-            seen += static_cast<std::size_t>(
-                    std::count_if(runs.begin(), runs.end(),
-                                  [&](const Engine::Run &run) { return run.requestId == poison; }));
-        }
-        for (; arrivals < seen; ++arrivals) {
-            const auto found = disrupted.find(owner);
-            const bool isInTouch = found == disrupted.end() || now - found->second > ContactSeconds;
-            const bool isBroken = arrivals >= MaxUnprocessable && isInTouch;
-            broken += isBroken ? 1 : 0;
-            lastArrival = now;
-            scene.record.result("arrival " + std::to_string(arrivals + 1)
-                                + " of the item that can never be done, from " + owner
-                                + (isInTouch ? ", in touch" : ", not in touch"));
-        }
-        const bool isKillDue = kills < Kills && arrivals > kills && now >= lastArrival + KillAfter;
-        for (std::size_t machine = 0; machine < Machines; ++machine) {
-            const bool isDown = down.contains(machine);
-            if (isDown && now >= down[machine]) {
-                scene.fleet->start(machine);
-                disrupted[scene.fleet->name(machine)] = now;
-                down.erase(machine);
-            }
-            if (Scene::hasTrouble() && isKillDue && !isDown
-                && scene.fleet->name(machine) == owner) {
-                scene.fleet->kill(machine);
-                disrupted[owner] = now;
-                down[machine] = now + RestartAfter;
-                ++kills;
-            }
-        }
+    while (Scene::hasTrouble() && servers.crashes() < CrashesSeen) {
+        servers.run(0.1);
+        if (scene.record.now() > begin + CrashesWithin)
+            return Scene::NotRun;
     }
-    scene.record.result("BUDGET: " + std::to_string(broken)
-                        + " arrivals from machines in touch after three answers of 422");
-    return broken > 0 ? Scene::Broken : Scene::Held;
+    servers.run(SoundAfter);
+    std::vector<Job> sound{makeJob("52000000a6f3a6f3", ItemsOfJob)};
+    for (Item &item : sound.front().items)
+        item.sharedParts = SoundPart;
+    if (submit(*scene.fleet, SoundTaker, sound.front(), scene.record) != 202)
+        return Scene::NotRun;
+    scene.record.line("the traffic ends");
+    servers.run(FinishSeconds);
+    scene.record.line("finish_s is over; servers crashed: " + std::to_string(servers.crashes()));
+    const auto lost = scene.countLost(sound, SoundTaker);
+    if (!lost)
+        return Scene::NotRun;
+    scene.record.result("LOST: " + std::to_string(*lost) + " sound items of an accepted job");
+    return *lost > 0 ? Scene::Broken : Scene::Held;
 }
 
 } // namespace
@@ -115,6 +133,6 @@
 {
     if (argc != 2)
         return Scene::NotRun;
-    Scene scene(argv[1], Machines, 9);
+    Scene scene(argv[1], Machines, Engines);
     scene.finish(play(scene));
 }
--- a/review/harness/engine.cpp
+++ b/review/harness/engine.cpp
@@ -65,6 +65,11 @@
 void Engine::handle(Exchange &exchange)
 {
     const Message &request = exchange.request;
+    if (m_isDown) {
+        exchange.connection.reset();
+        exchange.isLast = true;
+        return;
+    }
     if (request.path() == "/health") {
         exchange.respond(200, "", {{"Instance", m_settings.id}});
         return;
@@ -87,8 +92,12 @@
     }
     m_record.line(m_settings.id + " runs " + id + " after event '" + request.header("Last-Event-Id")
                   + "'");
-    const int status = answerStatus ? answerStatus(id) : 0;
-    if (status != 0) {
+    const int status = answerStatus ? answerStatus(request) : 0;
+    if (status == Crash) {
+        crash();
+        exchange.connection.reset();
+        exchange.isLast = true;
+    } else if (status != 0) {
         m_record.line(m_settings.id + " answers " + std::to_string(status) + " to " + id);
         exchange.respond(status, "", {{"Request-Id", id}, {"Reply-Seal", "s." + id}});
     } else {
--- a/review/harness/engine.h
+++ b/review/harness/engine.h
@@ -48,11 +48,14 @@
     void registerAt(Store &store) const;
     /// Resets all connections and refuses further ones, as the server's process has ended.
     void crash();
-    /// Statuses other than a stream for certain requests, by their id; 0 for none.
-    std::function<int(const std::string &requestId)> answerStatus;
+    /// Statuses other than a stream for certain requests; 0 for none, Crash if the server's process
+    /// ends as it begins to answer.
+    std::function<int(const Message &request)> answerStatus;
+    static constexpr int Crash = -1;
 
     std::vector<Run> runs();
     const Settings &settings() const { return m_settings; }
+    bool isDown() const { return m_isDown; }
     int running() const { return m_running; }
 
 private:
--- a/review/harness/fleet.cpp
+++ b/review/harness/fleet.cpp
@@ -24,6 +24,7 @@
 
 constexpr const char *Program = "target/pistachiofall";
 constexpr const char *Key = "key-of-desk";
+constexpr const char *SharedPart = "9c2e41:100";
 // Clients of batch jobs allow 4 s, and 1.5 s more for reads.
 constexpr milliseconds SubmitTimeout{4000};
 constexpr milliseconds ReadTimeout{2500};
@@ -201,7 +202,8 @@
         char number[8];
         std::snprintf(number, sizeof(number), "%04zu", index);
         const std::string item = id.substr(0, 12).append(number);
-        job.items.push_back({item, std::string(prefix).append("3/").append(item), {}, {}, 0});
+        job.items.push_back(
+                {item, std::string(prefix).append("3/").append(item), SharedPart, {}, {}, 0});
     }
     return job;
 }
@@ -210,9 +212,10 @@
 {
     json::array items;
     for (const Item &item : job.items) {
-        const json::object headers{{"Model", "m"},
-                                   {"Token-Count", "350,203"},
-                                   {"Prompt-Prefix", "9c2e41:100," + item.id.substr(8) + ":250"}};
+        const json::object headers{
+                {"Model", "m"},
+                {"Token-Count", "350,203"},
+                {"Prompt-Prefix", item.sharedParts + "," + item.id.substr(8) + ":250"}};
         items.push_back(json::object{{"id", item.id},
                                      {"path", item.path},
                                      {"headers", headers},
--- a/review/harness/fleet.h
+++ b/review/harness/fleet.h
@@ -65,6 +65,8 @@
 {
     std::string id;
     std::string path;
+    /// The parts of its prompt before its own, as Prompt-Prefix lists them.
+    std::string sharedParts;
     /// 'complete', 'dead' or empty.
     std::string state;
     std::string output;
--- a/review/harness/http.cpp
+++ b/review/harness/http.cpp
@@ -1,9 +1,11 @@
 #include "http.h"
 
 #include <algorithm>
+#include <atomic>
 #include <cctype>
 #include <cstdlib>
 #include <memory>
+#include <random>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -18,6 +20,11 @@
 
 namespace {
 
+// Below the ports that the system gives to connections.
+constexpr unsigned FirstPort = 20'000;
+constexpr unsigned Ports = 12'000;
+constexpr unsigned PortStep = 7;
+
 sockaddr_in loopback(std::uint16_t port)
 {
     sockaddr_in address{};
@@ -27,11 +34,11 @@
     return address;
 }
 
-// A listening socket of 127.0.0.1 and its port.
-int listenAnywhere(std::uint16_t &port)
+// A listening socket at a port of 127.0.0.1, at any one for 0; negative if the port is in use.
+int listenAt(std::uint16_t &port)
 {
     const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = loopback(0);
+    sockaddr_in address = loopback(port);
     socklen_t size = sizeof(address);
     if (::bind(handle, reinterpret_cast<sockaddr *>(&address), size) != 0
         || ::listen(handle, 512) != 0
@@ -215,7 +222,7 @@
 }
 
 Listener::Listener(Handler handler)
-    : m_handle(listenAnywhere(m_port))
+    : m_handle(listenAt(m_port))
 {
     std::thread([listener = m_handle, handler = std::move(handler)] {
         for (;;) {
@@ -238,9 +245,15 @@
 
 std::uint16_t freePort()
 {
-    std::uint16_t port = 0;
-    ::close(listenAnywhere(port));
-    return port;
+    static std::atomic<unsigned> next = std::random_device{}();
+    for (;;) {
+        auto port = static_cast<std::uint16_t>(FirstPort + (next += PortStep) % Ports);
+        const int handle = listenAt(port);
+        if (handle < 0)
+            continue;
+        ::close(handle);
+        return port;
+    }
 }
 
 Message call(std::uint16_t port, const std::string &method, const std::string &target,
