--- a/src/fleet/batchturns.cpp
+++ b/src/fleet/batchturns.cpp
@@ -8,34 +8,42 @@
 
 BatchTurns::BatchTurns(std::string instance)
     : m_instance(std::move(instance))
-{
-    m_competitors[m_instance] = true;
-}
+{ }
 
-void BatchTurns::setWaiting(const std::string &peer, std::uint32_t items, bool isSameDomain)
+void BatchTurns::setWaiting(const std::string &peer,
+                            const std::map<std::string, std::uint32_t> &items, bool isSameDomain)
 {
-    if (items == 0)
-        remove(peer);
-    else
-        m_competitors[peer] = isSameDomain;
+    remove(peer);
+    if (peer == m_instance)
+        return;
+    for (const auto &[service, count] : items) {
+        if (count > 0)
+            m_competitors[service][peer] = isSameDomain;
+    }
 }
 
 void BatchTurns::remove(const std::string &peer)
 {
-    if (peer != m_instance)
-        m_competitors.erase(peer);
+    for (auto &[service, instances] : m_competitors)
+        instances.erase(peer);
+    std::erase_if(m_competitors, [](const auto &each) { return each.second.empty(); });
 }
 
-bool BatchTurns::hasTurn(const std::string &endpoint, bool isSameDomain, std::uint64_t turn) const
+bool BatchTurns::hasTurn(const std::string &endpoint, const std::string &service, bool isSameDomain,
+                         std::uint64_t turn) const
 {
-    std::uint64_t count = 0;
+    const auto competitors = m_competitors.find(service);
+    if (competitors == m_competitors.end())
+        return true;
+    // The instances take turns in the order of their names.
+    std::uint64_t count = 1;
     std::uint64_t ownPosition = 0;
-    for (const auto &[name, isNear] : m_competitors) {
+    for (const auto &[name, isNear] : competitors->second) {
         if (isSameDomain && !isNear)
             continue;
-        if (name == m_instance)
-            ownPosition = count;
         ++count;
+        if (name < m_instance)
+            ++ownPosition;
     }
     return (stableHash(endpoint) + turn) % count == ownPosition;
 }
--- a/src/fleet/endpointpool.cpp
+++ b/src/fleet/endpointpool.cpp
@@ -289,7 +289,8 @@
     const int left = std::min(wanted + request.extraMargin, slots - 1);
     const int available = slots - entry.total().total() - left;
     if (available <= 0 || now - entry.lastFull < BatchDelayAfterFull
-        || !m_batchTurns.hasTurn(entry.endpoint.id, !isOtherDomain, request.batchTurn))
+        || !m_batchTurns.hasTurn(entry.endpoint.id, request.service, !isOtherDomain,
+                                 request.batchTurn))
         return 0;
     double weight = static_cast<double>(available) * available;
     if (isOtherDomain)
--- a/src/fleet/endpointpool.h
+++ b/src/fleet/endpointpool.h
@@ -60,8 +60,9 @@
     void setPeerUsage(const std::string &peer, std::map<std::string, EndpointUsage> usage,
                       SteadyTime now);
     void removePeer(const std::string &peer);
-    /// Replaces the number of batch items that wait at a peer.
-    void setPeerWaitingItems(const std::string &peer, std::uint32_t items, bool isSameDomain)
+    /// Replaces the numbers of batch items that wait at a peer, by service.
+    void setPeerWaitingItems(const std::string &peer,
+                             const std::map<std::string, std::uint32_t> &items, bool isSameDomain)
     {
         m_batchTurns.setWaiting(peer, items, isSameDomain);
     }
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -132,36 +132,68 @@
 
 void JobRunner::startPendingItems()
 {
-    const ServingConfig::Ptr config = m_callbacks.config();
-    if (m_isStopping || m_isStartingItems || !config)
+    if (m_isStopping || m_isStartingItems || !m_callbacks.config())
         return;
     m_isStartingItems = true;
-    std::vector<Candidate> candidates = pendingItems();
-    const auto isLater = [](const Candidate &left, const Candidate &right) {
-        return right.rank < left.rank;
-    };
-    std::make_heap(candidates.begin(), candidates.end(), isLater);
-    bool hasSlot = true;
-    while (hasSlot && !candidates.empty()) {
-        std::pop_heap(candidates.begin(), candidates.end(), isLater);
-        const Candidate candidate = std::move(candidates.back());
-        candidates.pop_back();
-        if (!candidate.job->isReleased)
-            hasSlot = placeItem(candidate, *config);
-    }
-    m_waitingItems = hasSlot ? 0 : candidates.size() + 1;
+    giveUpItems();
+    ItemQueues queues = pendingItems();
+    queues.startItems([this](const QueuedItem &item) { return startItem(item); });
+    m_waitingItems = queues.counts();
     m_isStartingItems = false;
 }
 
-std::vector<JobRunner::Candidate> JobRunner::pendingItems() const
+// Chooses the service of each item by the configuration in force.
+void JobRunner::routeItems(OwnedJob &job) const
+{
+    const ServingConfig::Ptr config = m_callbacks.config();
+    if (!config || job.routing == config)
+        return;
+    job.routing = config;
+    for (std::size_t index = 0; index < job.items.size(); ++index) {
+        const JobItem &item = job.items[index];
+        const ServingRoute *route = config->findRoute(job.record.host, item.path);
+        ItemProgress &progress = job.progress[index];
+        progress.service =
+                route == nullptr ? std::string() : std::string(chooseService(*route, item.id));
+    }
+}
+
+// Why an item can not run, whether or not there is a slot; empty if it can.
+std::string_view JobRunner::reasonToGiveUp(const OwnedJob &job, const ItemProgress &progress) const
+{
+    if (m_dependencies.clock.wallNow() > job.record.submitted + job.record.retention)
+        return "retention";
+    if (progress.service.empty())
+        return "no_route";
+    return {};
+}
+
+// Finishes the pending items that can not run as dead.
+void JobRunner::giveUpItems()
+{
+    std::vector<std::pair<JobPtr, std::size_t>> givenUp;
+    for (const auto &[id, job] : m_jobs) {
+        routeItems(*job);
+        for (std::size_t index = 0; index < job->items.size(); ++index) {
+            const ItemProgress &progress = job->progress[index];
+            if (progress.state == ItemProgress::State::Pending
+                && !reasonToGiveUp(*job, progress).empty())
+                givenUp.emplace_back(job, index);
+        }
+    }
+    for (const auto &[job, index] : givenUp)
+        finishAsDead(job, index, reasonToGiveUp(*job, job->progress[index]));
+}
+
+ItemQueues JobRunner::pendingItems()
 {
     const auto now = m_dependencies.clock.now();
-    std::vector<Candidate> pending;
+    ItemQueues pending;
     for (const auto &[id, job] : m_jobs) {
         for (std::size_t index = 0; index < job->items.size(); ++index) {
             const ItemProgress &progress = job->progress[index];
             if (progress.state == ItemProgress::State::Pending && progress.notBefore <= now)
-                pending.push_back({rankOf(*job, progress), job, index});
+                pending.add(progress.service, {rankOf(*job, progress), job, index});
         }
     }
     return pending;
@@ -169,51 +201,34 @@
 
 ItemRank JobRunner::rankOf(const OwnedJob &job, const ItemProgress &progress) const
 {
-    return m_itemOrder.rank(job.due, progress.lastEventId.value_or(0), m_dependencies.clock.now());
+    const auto found = m_itemOrders.find(progress.service);
+    const ItemOrder order = found == m_itemOrders.end() ? ItemOrder() : found->second;
+    return order.rank(job.due, progress.lastEventId.value_or(0), m_dependencies.clock.now());
 }
 
-// The service that the configuration in force sends the item to; empty without a route.
-std::string JobRunner::serviceFor(const JobRecord &record, const JobItem &item) const
+ItemQueues::Start JobRunner::startItem(const QueuedItem &item)
 {
-    const ServingConfig::Ptr config = m_callbacks.config();
-    const ServingRoute *route = config ? config->findRoute(record.host, item.path) : nullptr;
-    return route == nullptr ? std::string() : std::string(chooseService(*route, item.id));
-}
-
-// Starts one item, or finishes it as dead if it cannot run. Returns false if there is no free slot.
-bool JobRunner::placeItem(const Candidate &candidate, const ServingConfig &config)
-{
-    const JobPtr &job = candidate.job;
-    const std::size_t index = candidate.index;
-    const JobItem &item = job->items[index];
-    if (m_dependencies.clock.wallNow() > job->record.submitted + job->record.retention) {
-        finishAsDead(job, index, "retention");
-        return true;
-    }
-    const ServingRoute *route = config.findRoute(job->record.host, item.path);
-    if (route == nullptr) {
-        finishAsDead(job, index, "no_route");
-        return true;
-    }
-    // The item stays pending: it may be sound, or its part may be answered one day.
-    if (m_dependencies.promptGuard.findRejection(job->progress[index].sharedParts))
-        return true;
+    const JobPtr &job = item.job;
+    ItemProgress &progress = job->progress[item.index];
+    // An item with a quarantined part stays pending: it may be sound, or its part may be answered
+    // one day.
+    if (job->isReleased || m_dependencies.promptGuard.findRejection(progress.sharedParts))
+        return ItemQueues::Start::Done;
     PlacementRequest request;
-    request.service = chooseService(*route, item.id);
+    request.service = progress.service;
     request.failureDomain = m_dependencies.failureDomain;
-    request.key = item.id;
-    request.previousEndpoint = job->progress[index].previousEndpoint;
+    request.key = job->items[item.index].id;
+    request.previousEndpoint = progress.previousEndpoint;
     request.batchTurn = batchTurn();
-    request.extraMargin = candidate.rank.isLate ? ExtraMarginOfLateItems : 0;
+    request.extraMargin = item.rank.isLate ? ExtraMarginOfLateItems : 0;
     auto placement = m_dependencies.scheduler.tryAcquireBatch(request);
     if (!placement)
-        return false;
-    ItemProgress &progress = job->progress[index];
+        return ItemQueues::Start::NoSlot;
     progress.state = ItemProgress::State::Running;
     progress.endpoint = placement->endpoint.id;
     progress.isPreempted = false;
-    asio::co_spawn(m_executor, runItem(job, index, std::move(*placement)), asio::detached);
-    return true;
+    asio::co_spawn(m_executor, runItem(job, item.index, std::move(*placement)), asio::detached);
+    return ItemQueues::Start::Done;
 }
 
 // The number of the present turn at endpoints. A turn lasts until the items started in the one
@@ -241,10 +256,10 @@
     const bool isConfirmed = co_await confirmOwnership(job);
     // While the job was read, another configuration may have come into force, or the endpoint may
     // have begun to drain.
-    const std::string service = serviceFor(job->record, job->items[index]);
-    if (isConfirmed && m_dependencies.board.accepts(placement.endpoint.id, service))
-        co_await callEndpoint(job, index, placement);
+    routeItems(*job);
     ItemProgress &progress = job->progress[index];
+    if (isConfirmed && m_dependencies.board.accepts(placement.endpoint.id, progress.service))
+        co_await callEndpoint(job, index, placement);
     progress.call.reset();
     const std::string endpoint = std::exchange(progress.endpoint, {});
     progress.previousEndpoint = progress.isPreempted ? endpoint : std::string();
@@ -255,7 +270,8 @@
     const auto held = std::chrono::duration_cast<milliseconds>(m_dependencies.clock.now() - begin);
     progress.runTime += held;
     if (progress.state == ItemProgress::State::Finished)
-        m_itemOrder.recordFinished(progress.lastEventId.value_or(0), progress.runTime);
+        m_itemOrders[placement.endpoint.service].recordFinished(progress.lastEventId.value_or(0),
+                                                                progress.runTime);
     m_dependencies.scheduler.release(placement.endpoint.id, placement.endpoint.service,
                                      WorkClass::Batch, held);
 }
@@ -554,6 +570,19 @@
     return preempted;
 }
 
+void JobRunner::updateMetrics()
+{
+    MetricsRegistry &metrics = m_dependencies.metrics;
+    metrics.gauge("jobs_owned").set(static_cast<std::int64_t>(m_jobs.size()));
+    for (const auto &[service, count] : m_waitingItems)
+        m_waitingGauges[service] = &metrics.gauge("items_waiting", {{"service", service}});
+    for (const auto &[service, gauge] : m_waitingGauges) {
+        const auto found = m_waitingItems.find(service);
+        const std::size_t count = found == m_waitingItems.end() ? 0 : found->second;
+        gauge->set(static_cast<std::int64_t>(count));
+    }
+}
+
 void JobRunner::jobEnded(const std::string &id)
 {
     if (const JobPtr job = find(id))
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/itemorder.h"
+#include "serving/itemqueues.h"
 #include "serving/jobadopter.h"
 #include "serving/jobstore.h"
 #include "serving/onlineservice.h"
@@ -74,24 +75,20 @@
     std::size_t jobCount() const { return m_jobs.size(); }
     /// The ids of the jobs that run here, count at most.
     std::vector<std::string> jobIds(std::size_t count) const;
-    /// The items that were ready to start and found no slot at the last attempt.
-    std::size_t waitingItemCount() const { return m_waitingItems; }
+    /// The items that were ready to start and found no slot at the last attempt, by service.
+    const std::map<std::string, std::size_t> &waitingItems() const { return m_waitingItems; }
+    /// Sets the gauges of the jobs and of the waiting items.
+    void updateMetrics();
 
 private:
     using JobPtr = std::shared_ptr<OwnedJob>;
-    /// An item that wants a slot.
-    struct Candidate
-    {
-        ItemRank rank;
-        JobPtr job;
-        std::size_t index;
-    };
-
-    std::string serviceFor(const JobRecord &record, const JobItem &item) const;
-    std::vector<Candidate> pendingItems() const;
+    void routeItems(OwnedJob &job) const;
+    std::string_view reasonToGiveUp(const OwnedJob &job, const ItemProgress &progress) const;
+    void giveUpItems();
+    ItemQueues pendingItems();
     ItemRank rankOf(const OwnedJob &job, const ItemProgress &progress) const;
     std::uint64_t batchTurn() const;
-    bool placeItem(const Candidate &candidate, const ServingConfig &config);
+    ItemQueues::Start startItem(const QueuedItem &item);
     void finishAsDead(const JobPtr &job, std::size_t index, std::string_view reason);
     boost::asio::awaitable<void> runItem(JobPtr job, std::size_t index, Placement placement);
     boost::asio::awaitable<void> callEndpoint(JobPtr job, std::size_t index, Placement placement);
@@ -116,8 +113,11 @@
     Callbacks m_callbacks;
     JobAdopter m_adopter;
     std::map<std::string, JobPtr> m_jobs;
-    ItemOrder m_itemOrder;
-    std::size_t m_waitingItems = 0;
+    /// By service, as items of different services differ in size.
+    std::map<std::string, ItemOrder> m_itemOrders;
+    std::map<std::string, std::size_t> m_waitingItems;
+    /// Those of the services that had items waiting once.
+    std::map<std::string, Gauge *> m_waitingGauges;
     bool m_isStopping = false;
     bool m_isStartingItems = false;
 };
--- a/src/serving/ownedjob.h
+++ b/src/serving/ownedjob.h
@@ -3,6 +3,7 @@
 #include "coord/coordtimes.h"
 #include "fleet/promptpart.h"
 #include "fleet/readlease.h"
+#include "fleet/servingconfig.h"
 #include "http/endpointcall.h"
 #include "serving/jobitem.h"
 #include "serving/jobrecord.h"
@@ -43,6 +44,8 @@
     int endedEndpoints = 0;
     /// The parts of the item's prompt that other requests may share.
     PromptParts sharedParts;
+    /// The service that the job's routing sends the item to; empty without a route.
+    std::string service;
 };
 
 /// A batch job whose items this instance runs.
@@ -54,6 +57,8 @@
     std::vector<ItemProgress> progress;
     /// Results that the store has not acknowledged. They are not returned to readers yet.
     std::vector<JobResult> unwritten;
+    /// The configuration by which the services of the items have been chosen.
+    ServingConfig::Ptr routing;
     /// When the job is due. Jobs due earlier get slots first.
     SteadyTime due{};
     /// When the last call was sent whose answer showed that this instance owns the job and that it
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -24,6 +24,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <limits>
 #include <random>
 #include <utility>
 #include <vector>
@@ -67,6 +68,15 @@
     return (high << 32U) | random();
 }
 
+std::unique_ptr<wire::ServiceQueueT> encodeQueue(const std::string &service, std::size_t waiting)
+{
+    constexpr std::size_t MaxReported = std::numeric_limits<std::uint16_t>::max();
+    auto queue = std::make_unique<wire::ServiceQueueT>();
+    queue->service = service;
+    queue->waiting = static_cast<std::uint16_t>(std::min(waiting, MaxReported));
+    return queue;
+}
+
 FleetPeer peerFromSettings(const FleetSettings &settings)
 {
     return {settings.name, settings.peers, settings.failureDomain, settings.callers.has_value()};
@@ -347,7 +357,10 @@
     if (report.sender->takesCallers)
         quotas.setPeerUsage(peer, std::move(requests), report.incarnation, clock.now());
     jobOwners.recordPeerJobs(peer, report.incarnation, report.ownedJobs);
-    board.setPeerWaitingItems(peer, report.waitingItems,
+    std::map<std::string, std::uint32_t> waitingItems;
+    for (const auto &each : report.itemQueues)
+        waitingItems[each->service] = each->waiting;
+    board.setPeerWaitingItems(peer, waitingItems,
                               report.sender->failureDomain == settings.failureDomain);
     std::map<std::string, int> queues;
     for (const auto &each : report.queues)
@@ -372,7 +385,10 @@
 void ServingInstance::Data::fillReport(wire::FleetReportT &report)
 {
     report.configVersion = config.version();
-    report.waitingItems = static_cast<std::uint32_t>(jobs->waitingItemCount());
+    for (const auto &[service, waiting] : jobs->waitingItems()) {
+        report.waitingItems += static_cast<std::uint32_t>(waiting);
+        report.itemQueues.push_back(encodeQueue(service, waiting));
+    }
     for (const std::string &id : jobs->jobIds(JobOwners::MaxReportedJobs))
         report.ownedJobs.push_back(JobOwners::jobHash(id));
     report.storeAgeMs = static_cast<std::uint32_t>(storeAge().count());
@@ -392,12 +408,8 @@
         entry->requests = requests;
         report.organisations.push_back(std::move(entry));
     }
-    for (const auto &[service, waiting] : scheduler.queueCounts()) {
-        auto entry = std::make_unique<wire::ServiceQueueT>();
-        entry->service = service;
-        entry->waiting = static_cast<std::uint16_t>(std::min(waiting, 0xffff));
-        report.queues.push_back(std::move(entry));
-    }
+    for (const auto &[service, waiting] : scheduler.queueCounts())
+        report.queues.push_back(encodeQueue(service, static_cast<std::size_t>(waiting)));
 }
 
 milliseconds ServingInstance::Data::storeAge() const
@@ -475,7 +487,7 @@
     watchers->updateMetrics(metrics);
     promptGuard.updateMetrics();
     metrics.gauge("peers_alive").set(static_cast<std::int64_t>(peers.aliveNames().size()));
-    metrics.gauge("jobs_owned").set(static_cast<std::int64_t>(jobs->jobCount()));
+    jobs->updateMetrics();
     HttpHeaders headers{{"Content-Type", "text/plain; version=0.0.4"}};
     std::string body = metrics.renderText();
     co_await exchange.respond(200, std::move(headers), std::move(body));
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -4133,6 +4133,7 @@
   std::vector<std::unique_ptr<pistachiofall::wire::LeavingEndpointT>> leavingEndpoints{};
   uint32_t waitingItems = 0;
   std::vector<uint64_t> ownedJobs{};
+  std::vector<std::unique_ptr<pistachiofall::wire::ServiceQueueT>> itemQueues{};
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4160,7 +4161,8 @@
     VT_PROMPTPARTS = 30,
     VT_LEAVINGENDPOINTS = 32,
     VT_WAITINGITEMS = 34,
-    VT_OWNEDJOBS = 36
+    VT_OWNEDJOBS = 36,
+    VT_ITEMQUEUES = 38
   };
   const pistachiofall::wire::FleetMember *sender() const {
     return GetPointer<const pistachiofall::wire::FleetMember *>(VT_SENDER);
@@ -4213,6 +4215,9 @@
   const flatbuffers::Vector<uint64_t> *ownedJobs() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_OWNEDJOBS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *itemQueues() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *>(VT_ITEMQUEUES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -4244,6 +4249,9 @@
            VerifyField<uint32_t>(verifier, VT_WAITINGITEMS, 4) &&
            VerifyOffset(verifier, VT_OWNEDJOBS) &&
            verifier.VerifyVector(ownedJobs()) &&
+           VerifyOffset(verifier, VT_ITEMQUEUES) &&
+           verifier.VerifyVector(itemQueues()) &&
+           verifier.VerifyVectorOfTables(itemQueues()) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4306,6 +4314,9 @@
   void add_ownedJobs(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ownedJobs) {
     fbb_.AddOffset(FleetReport::VT_OWNEDJOBS, ownedJobs);
   }
+  void add_itemQueues(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> itemQueues) {
+    fbb_.AddOffset(FleetReport::VT_ITEMQUEUES, itemQueues);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4335,11 +4346,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>>> promptParts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>>> leavingEndpoints = 0,
     uint32_t waitingItems = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ownedJobs = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ownedJobs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> itemQueues = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configVersion(configVersion);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_itemQueues(itemQueues);
   builder_.add_ownedJobs(ownedJobs);
   builder_.add_waitingItems(waitingItems);
   builder_.add_leavingEndpoints(leavingEndpoints);
@@ -4380,13 +4393,15 @@
     const std::vector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>> *promptParts = nullptr,
     const std::vector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>> *leavingEndpoints = nullptr,
     uint32_t waitingItems = 0,
-    const std::vector<uint64_t> *ownedJobs = nullptr) {
+    const std::vector<uint64_t> *ownedJobs = nullptr,
+    const std::vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *itemQueues = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>>(*organisations) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*queues) : 0;
   auto promptParts__ = promptParts ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::PromptPartMark>>(*promptParts) : 0;
   auto leavingEndpoints__ = leavingEndpoints ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>>(*leavingEndpoints) : 0;
   auto ownedJobs__ = ownedJobs ? _fbb.CreateVector<uint64_t>(*ownedJobs) : 0;
+  auto itemQueues__ = itemQueues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*itemQueues) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       sender,
@@ -4405,7 +4420,8 @@
       promptParts__,
       leavingEndpoints__,
       waitingItems,
-      ownedJobs__);
+      ownedJobs__,
+      itemQueues__);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6436,6 +6452,8 @@
   for (const auto &promptParts_ : o.promptParts) { promptParts.emplace_back((promptParts_) ? new pistachiofall::wire::PromptPartMarkT(*promptParts_) : nullptr); }
   leavingEndpoints.reserve(o.leavingEndpoints.size());
   for (const auto &leavingEndpoints_ : o.leavingEndpoints) { leavingEndpoints.emplace_back((leavingEndpoints_) ? new pistachiofall::wire::LeavingEndpointT(*leavingEndpoints_) : nullptr); }
+  itemQueues.reserve(o.itemQueues.size());
+  for (const auto &itemQueues_ : o.itemQueues) { itemQueues.emplace_back((itemQueues_) ? new pistachiofall::wire::ServiceQueueT(*itemQueues_) : nullptr); }
 }
 
 inline FleetReportT &FleetReportT::operator=(FleetReportT o) FLATBUFFERS_NOEXCEPT {
@@ -6456,6 +6474,7 @@
   std::swap(leavingEndpoints, o.leavingEndpoints);
   std::swap(waitingItems, o.waitingItems);
   std::swap(ownedJobs, o.ownedJobs);
+  std::swap(itemQueues, o.itemQueues);
   return *this;
 }
 
@@ -6485,6 +6504,7 @@
   { auto _e = leavingEndpoints(); if (_e) { _o->leavingEndpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leavingEndpoints[_i] = std::unique_ptr<pistachiofall::wire::LeavingEndpointT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = waitingItems(); _o->waitingItems = _e; }
   { auto _e = ownedJobs(); if (_e) { _o->ownedJobs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ownedJobs[_i] = _e->Get(_i); } } }
+  { auto _e = itemQueues(); if (_e) { _o->itemQueues.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->itemQueues[_i] = std::unique_ptr<pistachiofall::wire::ServiceQueueT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6512,6 +6532,7 @@
   auto _leavingEndpoints = _o->leavingEndpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>> (_o->leavingEndpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateLeavingEndpoint(*__va->__fbb, __va->__o->leavingEndpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _waitingItems = _o->waitingItems;
   auto _ownedJobs = _o->ownedJobs.size() ? _fbb.CreateVector(_o->ownedJobs) : 0;
+  auto _itemQueues = _o->itemQueues.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> (_o->itemQueues.size(), [](size_t i, _VectorArgs *__va) { return CreateServiceQueue(*__va->__fbb, __va->__o->itemQueues[i].get(), __va->__rehasher); }, &_va ) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       _sender,
@@ -6530,7 +6551,8 @@
       _promptParts,
       _leavingEndpoints,
       _waitingItems,
-      _ownedJobs);
+      _ownedJobs,
+      _itemQueues);
 }
 
 inline FleetReportReplyT::FleetReportReplyT(const FleetReportReplyT &o)
--- a/standins/common/sealedengine.cpp
+++ b/standins/common/sealedengine.cpp
@@ -3,6 +3,7 @@
 #include "common/pause.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <string_view>
 #include <utility>
@@ -91,6 +92,9 @@
     } else if (exchange.path() == "/control/mode") {
         m_mode = exchange.query("name");
         m_modeCount = std::stoi(exchange.query("count", "1"));
+    } else if (exchange.path() == "/control/fail") {
+        m_failing[exchange.query("id")] =
+                static_cast<unsigned>(std::stoul(exchange.query("status", "500")));
     } else if (exchange.path() == "/control/leave") {
         m_isLeaving = true;
     }
@@ -126,6 +130,16 @@
     ++m_runs[requestId];
     if (hasDeadlyPart(exchange))
         std::_Exit(1);
+    const auto failing = m_failing.find(requestId);
+    if (failing != m_failing.end()) {
+        std::string text = headOf(failing->second, requestId, "Content-Length: 6\r\n") + "broken";
+        co_await write(exchange, std::move(text));
+        co_return;
+    }
+    if (mode == "silent") {
+        co_await staySilent(exchange);
+        co_return;
+    }
     if (mode == "trickle") {
         co_await trickle(exchange, std::move(requestId));
         co_return;
@@ -170,6 +184,15 @@
     co_await write(exchange, std::move(sent));
 }
 
+asio::awaitable<void> SealedEngine::staySilent(HttpExchange &exchange)
+{
+    boost::system::error_code error;
+    std::array<char, 1> byte{};
+    co_await exchange.socket().async_read_some(asio::buffer(byte),
+                                               asio::redirect_error(asio::use_awaitable, error));
+    exchange.drop();
+}
+
 // Sends events up to some point, and then bytes of the next one until the caller closes.
 asio::awaitable<void> SealedEngine::trickle(HttpExchange &exchange, std::string requestId)
 {
@@ -204,6 +227,19 @@
     exchange.socket().close();
 }
 
+std::string SealedEngine::headOfEndlessBody(const HttpExchange &exchange,
+                                            const std::string &requestId,
+                                            const std::string &mode) const
+{
+    const bool isStream = exchange.path().find("/stream/") != std::string::npos;
+    std::string fields = isStream ? "Content-Type: text/event-stream\r\n" : "";
+    if (mode == "endless-length")
+        fields += "Content-Length: 1000000000000\r\n";
+    else if (mode != "endless-close")
+        fields += "Transfer-Encoding: chunked\r\n";
+    return headOf(mode == "endless-error" ? 500 : 200, requestId, fields);
+}
+
 asio::awaitable<void> SealedEngine::writeEndless(HttpExchange &exchange, std::string requestId,
                                                  const std::string &mode)
 {
@@ -219,6 +255,10 @@
     } else if (mode == "endless-events") {
         begin = head;
         repeated = chunkOf("data: " + repeated + "\n\n");
+    } else if (mode != "endless-bytes") {
+        begin = headOfEndlessBody(exchange, requestId, mode);
+        if (mode == "endless-chunks" || mode == "endless-error")
+            repeated = chunkOf(repeated);
     }
     bool isOpen = co_await write(exchange, std::move(begin));
     while (isOpen) {
--- a/standins/common/sealedengine.h
+++ b/standins/common/sealedengine.h
@@ -23,12 +23,18 @@
 /// - refuse: with 503, as not run;
 /// - refuse-again: as refuse, and the same bytes come once more before the answer to the next
 ///   request on the connection;
+/// - silent: not at all, with the connection open until the caller closes;
 /// - close: without a length or chunks, up to the end of the connection;
 /// - trickle: with some events, and then with a byte now and then that completes none;
 /// - cut-head-N: with the first N bytes of the head, then the end of the connection;
 /// - endless-head, endless-interim, endless-events, endless-bytes: with header fields, interim
-///   answers, events without ids or letters, until the caller closes.
+///   answers, events without ids or letters, until the caller closes;
+/// - endless-length, endless-chunks, endless-close, endless-error: with a head and letters in a
+/// body
+///   of a length, in chunks or up to the end of the connection, or in chunks with status 500, until
+///   the caller closes.
 /// GET /control/leave lets all further answers say that the endpoint leaves.
+/// GET /control/fail?id=ID&status=CODE lets each run of that request end with the status.
 class SealedEngine
 {
 public:
@@ -53,12 +59,15 @@
     boost::asio::awaitable<void> control(HttpExchange &exchange);
     boost::asio::awaitable<void> run(HttpExchange &exchange, std::string requestId);
     boost::asio::awaitable<void> trickle(HttpExchange &exchange, std::string requestId);
+    boost::asio::awaitable<void> staySilent(HttpExchange &exchange);
     boost::asio::awaitable<void> writePartOfHead(HttpExchange &exchange,
                                                  const std::string &requestId, std::size_t bytes);
     boost::asio::awaitable<void> writeEndless(HttpExchange &exchange, std::string requestId,
                                               const std::string &mode);
     boost::asio::awaitable<void> refuse(HttpExchange &exchange, const std::string &requestId,
                                         bool isRepeated);
+    std::string headOfEndlessBody(const HttpExchange &exchange, const std::string &requestId,
+                                  const std::string &mode) const;
     std::string takeMode();
     bool hasDeadlyPart(const HttpExchange &exchange) const;
     std::string headOf(unsigned status, const std::string &requestId,
@@ -69,6 +78,8 @@
 
     Settings m_settings;
     std::map<std::string, int> m_runs;
+    /// The status with which each run of a request ends, by its id.
+    std::map<std::string, unsigned> m_failing;
     int m_cutAfter = -1;
     std::string m_mode;
     int m_modeCount = 0;
--- a/tests/fleet/batchmargintest.cpp
+++ b/tests/fleet/batchmargintest.cpp
@@ -193,7 +193,7 @@
                 continue;
             m_pools[other]->setPeerUsage(name(instance), m_pools[instance]->localUsage(), m_now);
             if (m_hasLimits)
-                m_pools[other]->setPeerWaitingItems(name(instance), 1, true);
+                m_pools[other]->setPeerWaitingItems(name(instance), {{"chat", 1}}, true);
         }
     }
 
--- a/tests/system/childprocess.cpp
+++ b/tests/system/childprocess.cpp
@@ -3,6 +3,7 @@
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <thread>
 
 #include <fcntl.h>
@@ -146,4 +147,15 @@
     }
 }
 
+int ChildProcess::peakMegabytes() const
+{
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.starts_with("VmHWM:"))
+            return std::atoi(line.c_str() + 6) / 1024;
+    }
+    return -1;
+}
+
 } // namespace pistachiofall::tests
--- a/tests/system/childprocess.h
+++ b/tests/system/childprocess.h
@@ -32,6 +32,8 @@
     void kill();
     bool isRunning();
     pid_t pid() const { return m_pid; }
+    /// The most memory that the process has had so far; -1 when it has ended.
+    int peakMegabytes() const;
 
     /// All that the program has written so far and until its end, when it has ended.
     std::string readAll(std::chrono::milliseconds timeout);
--- a/tests/system/spacefleet.cpp
+++ b/tests/system/spacefleet.cpp
@@ -135,6 +135,12 @@
     httpGet(m_endpointPorts[id], "/control/mode?name=" + mode + "&count=" + std::to_string(count));
 }
 
+void SpaceFleet::failRequest(const std::string &id, const std::string &requestId, unsigned status)
+{
+    httpGet(m_endpointPorts[id],
+            "/control/fail?id=" + requestId + "&status=" + std::to_string(status));
+}
+
 void SpaceFleet::announceLeaving(const std::string &id)
 {
     httpGet(m_endpointPorts[id], "/control/leave");
@@ -153,6 +159,8 @@
     std::string extra;
     for (int index = 0; index < m_extraRoutes; ++index)
         extra += "," + route("extra-" + std::to_string(index), "safe", 2, false);
+    for (const auto &[prefix, service] : m_batchRoutes)
+        extra += "," + route(prefix, "batch", 3, true, service);
     const std::string object = R"({"metadata":{"name":"main"},"spec":{"version":)"
             + std::to_string(version) + R"(,"routes":[)" + route("plain", "safe", 2, false) + ","
             + route("once", "unsafe", 2, false) + "," + route("talk", "stream", 3, true) + ","
@@ -209,8 +217,10 @@
     const std::string file = m_folder + "/" + name + ".toml";
     {
         std::ofstream settings(file);
-        settings << "[instance]\nname = \"" << name << "\"\nfailure_domain = \"east-a\"\n"
-                 << "[listen]\ncallers = \"" << address(ports.callers) << "\"\nready = \""
+        settings << "[instance]\nname = \"" << name << "\"\nfailure_domain = \"east-a\"\n";
+        if (m_memoryMegabytes > 0)
+            settings << "memory_mb = " << m_memoryMegabytes << "\n";
+        settings << "[listen]\ncallers = \"" << address(ports.callers) << "\"\nready = \""
                  << address(ports.ready) << "\"\npeers = \"" << address(ports.peers)
                  << "\"\nmetrics = \"" << address(ports.metrics) << "\"\n"
                  << "[store]\naddress = \"" << address(ports.store)
--- a/tests/system/spacefleet.h
+++ b/tests/system/spacefleet.h
@@ -37,6 +37,8 @@
     void cutNextStream(const std::string &id, int afterEvents);
     /// Sets how the endpoint answers its next requests, by the names of SealedEngine.
     void setAnswers(const std::string &id, const std::string &mode, int count = 1);
+    /// Lets each run of the request at the endpoint end with the status.
+    void failRequest(const std::string &id, const std::string &requestId, unsigned status);
     /// Lets the endpoint say in all its answers that it leaves.
     void announceLeaving(const std::string &id);
     ChildProcess &endpoint(const std::string &id);
@@ -50,6 +52,11 @@
                      int burst = 1000);
     /// The service of the route for batch jobs in each further configuration.
     void setBatchService(const std::string &service) { m_batchService = service; }
+    /// Each further configuration has one more route for batch jobs, with this path prefix.
+    void addBatchRoute(const std::string &prefix, const std::string &service)
+    {
+        m_batchRoutes[prefix] = service;
+    }
     /// The number of routes that each further configuration has in addition.
     void setExtraRoutes(int count) { m_extraRoutes = count; }
     void setStore(const std::string &mode);
@@ -60,6 +67,8 @@
     /// The objects of a kind in the store, as it lists them.
     std::string stored(const std::string &kind);
 
+    /// The memory that each further instance is told to have.
+    void setMemory(int megabytes) { m_memoryMegabytes = megabytes; }
     /// Each further setting is a line of the section "fleet".
     void startInstance(int index, const std::vector<std::string> &furtherSettings = {});
     bool waitReady(int index, std::chrono::milliseconds timeout = std::chrono::seconds{10});
@@ -101,7 +110,11 @@
     std::map<std::string, int> m_endpointSlots;
     std::map<std::string, std::string> m_endpointServices;
     std::string m_batchService = "chat";
+    /// Services by path prefix.
+    std::map<std::string, std::string> m_batchRoutes;
     int m_extraRoutes = 0;
+    /// 0: that of the machine.
+    int m_memoryMegabytes = 0;
     bool m_hasConfig = false;
 };
 
