--- a/src/fleet/promptquarantine.cpp
+++ b/src/fleet/promptquarantine.cpp
@@ -1,7 +1,9 @@
 #include "fleet/promptquarantine.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
+#include <utility>
 
 namespace pistachiofall {
 
@@ -21,9 +23,13 @@
 constexpr seconds TestTimeout{10};
 // A suspect without an end for this long is forgotten.
 constexpr seconds SuspectTtl{FirstQuarantine * (2 << MaxDoublings)};
+// Ends become known within these times after they happened, but for instances that were cut off.
+constexpr seconds AnswerTtl{FirstQuarantine};
+constexpr seconds AnsweredEndTtl{10};
 constexpr std::size_t MaxSuspects = 256;
-constexpr std::size_t MaxEndsKept = 8;
+constexpr std::size_t MaxEndsKept = 16;
 constexpr std::size_t MaxReported = 16;
+constexpr std::size_t MaxEndsReported = 8;
 
 milliseconds since(SteadyTime time, SteadyTime now)
 {
@@ -32,13 +38,21 @@
 
 } // namespace
 
+std::span<const EndpointEnd> PromptQuarantine::Suspect::openEnds() const
+{
+    const auto isAnswered = [this](const EndpointEnd &end) {
+        return answered && end.time <= *answered;
+    };
+    return {std::find_if_not(ends.begin(), ends.end(), isAnswered), ends.end()};
+}
+
 // The number of ends that are apart in time, or that followed each other under one request, at
 // endpoints that are not explained by another part.
 std::size_t PromptQuarantine::countUnexplained(const Suspect &suspect, const Endpoints &explained)
 {
     std::size_t count = 0;
     SteadyTime last{};
-    for (const EndpointEnd &end : suspect.ends) {
+    for (const EndpointEnd &end : suspect.openEnds()) {
         if (explained.contains(end.endpoint))
             continue;
         if (count > 0 && !end.isRepeated && end.time - last < MinEndDistance)
@@ -49,74 +63,117 @@
     return count;
 }
 
-// Chooses the parts that explain the ends, those first that explain most and stand last in their
-// prompts, and keeps those chosen before. Returns the new ones.
-PromptParts PromptQuarantine::updateQuarantined()
+// Chooses the parts that explain the ends: of those with enough ends that no other explains, the
+// one that stands last in its prompts, and among equals the one with the most ends.
+std::set<PromptPart> PromptQuarantine::findResponsible() const
 {
-    PromptParts added;
+    struct Rank
+    {
+        std::size_t depth = 0;
+        std::size_t ends = 0;
+        PromptPart part = 0;
+
+        bool operator<(const Rank &other) const
+        {
+            return std::tie(depth, ends, part) < std::tie(other.depth, other.ends, other.part);
+        }
+    };
+    std::set<PromptPart> responsible;
     Endpoints explained;
-    std::set<PromptPart> chosen;
     for (;;) {
-        using Rank = std::tuple<bool, std::size_t, std::size_t, PromptPart>;
-        Rank best{};
-        Suspect *bestSuspect = nullptr;
-        for (auto &[part, suspect] : m_suspects) {
-            if (chosen.contains(part))
-                continue;
-            const auto count =
-                    countUnexplained(suspect, suspect.isQuarantined ? Endpoints{} : explained);
-            const Rank rank{suspect.isQuarantined, count, suspect.depth, part};
-            if (count < EndsBeforeQuarantine || (bestSuspect != nullptr && rank < best))
-                continue;
-            best = rank;
-            bestSuspect = &suspect;
+        std::optional<Rank> best;
+        for (const auto &[part, suspect] : m_suspects) {
+            const std::size_t count = countUnexplained(suspect, explained);
+            if (count >= EndsBeforeQuarantine && !responsible.contains(part))
+                best = std::max(best, std::optional<Rank>(Rank{suspect.depth, count, part}));
         }
-        if (bestSuspect == nullptr)
+        if (!best)
             break;
-        const PromptPart part = std::get<3>(best);
-        if (!bestSuspect->isQuarantined)
-            added.push_back(part);
-        bestSuspect->isQuarantined = true;
-        chosen.insert(part);
-        for (const EndpointEnd &end : bestSuspect->ends)
+        responsible.insert(best->part);
+        for (const EndpointEnd &end : m_suspects.at(best->part).openEnds())
             explained.insert(end.endpoint);
     }
-    for (auto &[part, suspect] : m_suspects)
-        suspect.isQuarantined = chosen.contains(part);
-    return added;
+    keepShallowest(responsible);
+    return responsible;
+}
+
+// A part whose ends are all explained by parts that stand before it, and that have ends of their
+// own besides, is sound as far as is known.
+void PromptQuarantine::keepShallowest(std::set<PromptPart> &responsible) const
+{
+    std::vector<std::pair<std::size_t, PromptPart>> byDepth;
+    for (const PromptPart part : responsible)
+        byDepth.emplace_back(m_suspects.at(part).depth, part);
+    std::sort(byDepth.begin(), byDepth.end());
+    Endpoints explained;
+    for (const auto &[depth, part] : byDepth) {
+        const Suspect &suspect = m_suspects.at(part);
+        if (countUnexplained(suspect, explained) == 0)
+            responsible.erase(part);
+        for (const EndpointEnd &end : suspect.openEnds())
+            explained.insert(end.endpoint);
+    }
+}
+
+QuarantineChange PromptQuarantine::updateQuarantined()
+{
+    const std::set<PromptPart> responsible = findResponsible();
+    QuarantineChange change;
+    for (auto &[part, suspect] : m_suspects) {
+        const bool isQuarantined = responsible.contains(part);
+        if (isQuarantined != suspect.isQuarantined)
+            (isQuarantined ? change.added : change.removed).push_back(part);
+        suspect.isQuarantined = isQuarantined;
+    }
+    return change;
 }
 
 SteadyTime PromptQuarantine::quarantineEnd(const Suspect &suspect) const
 {
     const auto further = countUnexplained(suspect, {}) - EndsBeforeQuarantine;
     const auto doublings = std::min<std::size_t>(further, MaxDoublings);
-    return suspect.ends.back().time + FirstQuarantine * (1U << doublings);
+    return suspect.openEnds().back().time + FirstQuarantine * (1U << doublings);
 }
 
 bool PromptQuarantine::mustWait(const Suspect &suspect, SteadyTime now) const
 {
-    return now < quarantineEnd(suspect) || (suspect.tested && now - *suspect.tested < TestTimeout);
+    const bool isTestRunning = suspect.tested && now - *suspect.tested < TestTimeout
+            && suspect.openEnds().back().time <= *suspect.tested;
+    return now < quarantineEnd(suspect) || isTestRunning;
 }
 
-void PromptQuarantine::addEnd(PromptPart part, std::size_t depth, const EndpointEnd &end)
+PromptQuarantine::Suspect &PromptQuarantine::findOrAdd(PromptPart part)
 {
-    if (!m_suspects.contains(part))
-        makeRoom();
+    const auto found = m_suspects.find(part);
+    if (found != m_suspects.end())
+        return found->second;
+    makeRoom();
     Suspect &suspect = m_suspects[part];
+    suspect.answered = std::max(m_ownAnswers.find(part), m_peerAnswers.find(part));
+    return suspect;
+}
+
+// Peers tell of an end with the time that it took them to do so, so the earliest time is the best.
+void PromptQuarantine::addEnd(PromptPart part, std::size_t depth, const EndpointEnd &end)
+{
+    Suspect &suspect = findOrAdd(part);
     suspect.depth = std::max(suspect.depth, depth);
-    const bool isKnown =
-            std::any_of(suspect.ends.begin(), suspect.ends.end(),
-                        [&end](const EndpointEnd &each) { return each.endpoint == end.endpoint; });
-    if (isKnown || (suspect.answered && end.time <= *suspect.answered))
-        return;
-    const auto position = std::upper_bound(suspect.ends.begin(), suspect.ends.end(), end,
-                                           [](const EndpointEnd &left, const EndpointEnd &right) {
-                                               return left.time < right.time;
-                                           });
-    suspect.ends.insert(position, end);
+    EndpointEnd merged = end;
+    std::erase_if(suspect.ends, [&merged](const EndpointEnd &known) {
+        if (known.endpoint != merged.endpoint)
+            return false;
+        merged.time = std::min(merged.time, known.time);
+        merged.isRepeated = merged.isRepeated || known.isRepeated;
+        return true;
+    });
+    const auto isEarlier = [](const EndpointEnd &left, const EndpointEnd &right) {
+        return std::tie(left.time, left.endpoint) < std::tie(right.time, right.endpoint);
+    };
+    const auto position =
+            std::upper_bound(suspect.ends.begin(), suspect.ends.end(), merged, isEarlier);
+    suspect.ends.insert(position, merged);
     if (suspect.ends.size() > MaxEndsKept)
         suspect.ends.erase(suspect.ends.begin());
-    suspect.tested.reset();
 }
 
 // The suspect whose last end is the oldest makes room for a new one.
@@ -134,29 +191,25 @@
     m_suspects.erase(oldest);
 }
 
-PromptParts PromptQuarantine::recordEnd(const PromptParts &parts, const EndpointEnd &end)
+QuarantineChange PromptQuarantine::recordEnd(const PromptParts &parts, const EndpointEnd &end)
 {
     for (std::size_t depth = 0; depth < parts.size(); ++depth)
         addEnd(parts[depth], depth, end);
     return updateQuarantined();
 }
 
-PromptParts PromptQuarantine::recordAnswer(const PromptParts &parts, SteadyTime now)
+QuarantineChange PromptQuarantine::recordAnswer(const PromptParts &parts, SteadyTime now)
 {
-    PromptParts cleared;
+    bool isSuspect = false;
     for (const PromptPart part : parts) {
+        m_ownAnswers.record(part, now);
         const auto found = m_suspects.find(part);
         if (found == m_suspects.end())
             continue;
-        Suspect &suspect = found->second;
-        if (suspect.isQuarantined)
-            cleared.push_back(part);
-        suspect.answered = now;
-        suspect.ends.clear();
-        suspect.isQuarantined = false;
-        suspect.tested.reset();
+        found->second.answered = std::max(found->second.answered, std::optional(now));
+        isSuspect = true;
     }
-    return cleared;
+    return isSuspect ? updateQuarantined() : QuarantineChange{};
 }
 
 std::optional<PromptPart> PromptQuarantine::findQuarantined(const PromptParts &parts,
@@ -201,49 +254,62 @@
         PromptPartReport report;
         report.part = part;
         report.depth = suspect.depth;
-        for (const EndpointEnd &end : suspect.ends)
+        const auto ends = suspect.openEnds();
+        for (const EndpointEnd &end : ends.last(std::min(ends.size(), MaxEndsReported)))
             report.ends.push_back({end.endpoint, since(end.time, now), end.isRepeated});
-        if (suspect.answered)
-            report.answeredAge = since(*suspect.answered, now);
+        if (const auto answered = m_ownAnswers.find(part))
+            report.answeredAge = since(*answered, now);
         all.push_back(std::move(report));
     }
-    const auto age = [](const PromptPartReport &report) {
-        return report.ends.empty() ? report.answeredAge.value_or(milliseconds::max())
-                                   : report.ends.back().age;
+    // Of the parts of one prompt, a report that has no room for all names those that stand last.
+    const auto rank = [this](const PromptPartReport &report) {
+        const milliseconds age = report.ends.empty()
+                ? report.answeredAge.value_or(milliseconds::max())
+                : report.ends.back().age;
+        return std::tuple(!m_suspects.at(report.part).isQuarantined, age,
+                          std::numeric_limits<std::size_t>::max() - report.depth, report.part);
     };
     std::sort(all.begin(), all.end(),
-              [&age](const PromptPartReport &left, const PromptPartReport &right) {
-                  return age(left) < age(right);
+              [&rank](const PromptPartReport &left, const PromptPartReport &right) {
+                  return rank(left) < rank(right);
               });
     if (all.size() > MaxReported)
         all.resize(MaxReported);
     return all;
 }
 
-PromptParts PromptQuarantine::recordPeer(const PromptPartReport &report, SteadyTime now)
+QuarantineChange PromptQuarantine::recordPeer(const std::vector<PromptPartReport> &reports,
+                                              SteadyTime now)
 {
-    const auto found = m_suspects.find(report.part);
-    if (report.answeredAge && found != m_suspects.end()) {
-        Suspect &suspect = found->second;
-        const SteadyTime answered = now - *report.answeredAge;
-        suspect.answered = std::max(suspect.answered.value_or(answered), answered);
-        std::erase_if(suspect.ends,
-                      [&suspect](const EndpointEnd &end) { return end.time <= *suspect.answered; });
+    for (const PromptPartReport &report : reports) {
+        if (report.answeredAge)
+            m_peerAnswers.record(report.part, now - *report.answeredAge);
+        for (const PromptPartReport::End &end : report.ends)
+            addEnd(report.part, report.depth, {end.endpoint, now - end.age, end.isRepeated});
+        const auto found = m_suspects.find(report.part);
+        if (found != m_suspects.end())
+            found->second.answered =
+                    std::max(found->second.answered, m_peerAnswers.find(report.part));
     }
-    for (const PromptPartReport::End &end : report.ends)
-        addEnd(report.part, report.depth, {end.endpoint, now - end.age, end.isRepeated});
-    return updateQuarantined();
+    return reports.empty() ? QuarantineChange{} : updateQuarantined();
 }
 
 void PromptQuarantine::removeExpired(SteadyTime now)
 {
-    std::erase_if(m_suspects, [now](const auto &each) {
-        const Suspect &suspect = each.second;
-        const SteadyTime newest =
-                suspect.ends.empty() ? suspect.answered.value_or(now) : suspect.ends.back().time;
-        const auto ttl = suspect.ends.empty() ? TestTimeout : SuspectTtl;
-        return now - newest > ttl;
+    m_ownAnswers.removeBefore(now - AnswerTtl);
+    m_peerAnswers.removeBefore(now - AnswerTtl);
+    for (auto &[part, suspect] : m_suspects) {
+        const auto answeredEnds =
+                static_cast<std::ptrdiff_t>(suspect.ends.size() - suspect.openEnds().size());
+        if (suspect.answered && now - *suspect.answered > AnsweredEndTtl)
+            suspect.ends.erase(suspect.ends.begin(), suspect.ends.begin() + answeredEnds);
+    }
+    const std::size_t removed = std::erase_if(m_suspects, [now](const auto &each) {
+        const auto &ends = each.second.ends;
+        return ends.empty() || now - ends.back().time > SuspectTtl;
     });
+    if (removed > 0)
+        updateQuarantined();
 }
 
 std::size_t PromptQuarantine::quarantinedCount() const
--- a/src/fleet/promptquarantine.h
+++ b/src/fleet/promptquarantine.h
@@ -2,6 +2,7 @@
 
 #include "coord/coordtimes.h"
 #include "fleet/promptpart.h"
+#include "fleet/recentanswers.h"
 
 #include <chrono>
 #include <cstddef>
@@ -10,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <vector>
 
 namespace pistachiofall {
@@ -42,6 +44,16 @@
     std::optional<std::chrono::milliseconds> answeredAge;
 };
 
+/// What has changed by a record: the parts that are quarantined from now on, and those that no
+/// longer are.
+struct QuarantineChange
+{
+    PromptParts added;
+    PromptParts removed;
+
+    bool isEmpty() const { return added.empty() && removed.empty(); }
+};
+
 /// Finds the prompt parts that end each endpoint which begins to answer a request with them, and
 /// decides which requests are rejected for it.
 ///
@@ -53,6 +65,9 @@
 /// are answered elsewhere, which clears them. A quarantine ends after a while with one request as a
 /// test, at one instance.
 ///
+/// Which parts are quarantined follows from the ends and answers that are known, never from the
+/// order in which they became known: instances that know the same decide alike.
+///
 /// Not thread safe.
 class PromptQuarantine
 {
@@ -60,12 +75,10 @@
     /// Answers whether this instance is the one that tests the part when its quarantine ends.
     using IsTester = std::function<bool(PromptPart part)>;
 
-    /// The endpoint ended before it began to answer a request with these parts. Returns those that
-    /// are quarantined from now on.
-    PromptParts recordEnd(const PromptParts &parts, const EndpointEnd &end);
-    /// An endpoint has answered a request with these parts, at least in part. Returns those that
-    /// were quarantined until now.
-    PromptParts recordAnswer(const PromptParts &parts, SteadyTime now);
+    /// The endpoint ended before it began to answer a request with these parts.
+    QuarantineChange recordEnd(const PromptParts &parts, const EndpointEnd &end);
+    /// An endpoint has answered a request with these parts, at least in part.
+    QuarantineChange recordAnswer(const PromptParts &parts, SteadyTime now);
 
     /// The part for which a request with these parts must be rejected now, if any.
     std::optional<PromptPart> findQuarantined(const PromptParts &parts, const IsTester &isTester,
@@ -77,10 +90,11 @@
     /// How long the part stays quarantined at least.
     std::chrono::milliseconds remaining(PromptPart part, SteadyTime now) const;
 
-    /// What to tell peers: the suspects with the newest ends.
+    /// What to tell peers: the quarantined parts, then the suspects with the newest ends. Of
+    /// answers only those that this instance has seen, as the others tell theirs themselves.
     std::vector<PromptPartReport> reports(SteadyTime now) const;
-    /// Takes over what a peer knows. Returns the parts that are quarantined from now on.
-    PromptParts recordPeer(const PromptPartReport &report, SteadyTime now);
+    /// Takes over what a peer knows.
+    QuarantineChange recordPeer(const std::vector<PromptPartReport> &reports, SteadyTime now);
 
     /// Forgets parts with which no endpoint has ended for a long time.
     void removeExpired(SteadyTime now);
@@ -91,11 +105,14 @@
 private:
     struct Suspect
     {
-        /// In the order of time; only those after the last answer count.
+        /// In the order of time. Those before the last answer don't count; they are kept for a
+        /// while, as peers may tell of them again with a later time.
         std::vector<EndpointEnd> ends;
+        std::optional<SteadyTime> answered;
         std::size_t depth = 0;
+
+        std::span<const EndpointEnd> openEnds() const;
         bool isQuarantined = false;
-        std::optional<SteadyTime> answered;
         /// When the tester sent its request.
         std::optional<SteadyTime> tested;
     };
@@ -105,11 +122,17 @@
     static std::size_t countUnexplained(const Suspect &suspect, const Endpoints &explained);
     bool mustWait(const Suspect &suspect, SteadyTime now) const;
     SteadyTime quarantineEnd(const Suspect &suspect) const;
+    Suspect &findOrAdd(PromptPart part);
     void addEnd(PromptPart part, std::size_t depth, const EndpointEnd &end);
-    PromptParts updateQuarantined();
+    std::set<PromptPart> findResponsible() const;
+    void keepShallowest(std::set<PromptPart> &responsible) const;
+    QuarantineChange updateQuarantined();
     void makeRoom();
 
     std::map<PromptPart, Suspect> m_suspects;
+    /// The answers seen by this instance, and those that peers have told of.
+    RecentAnswers m_ownAnswers;
+    RecentAnswers m_peerAnswers;
 };
 
 } // namespace pistachiofall
--- a/src/serving/promptguard.cpp
+++ b/src/serving/promptguard.cpp
@@ -9,6 +9,7 @@
 #include <limits>
 #include <memory>
 #include <utility>
+#include <vector>
 
 namespace pistachiofall {
 
@@ -77,21 +78,27 @@
     for (const PromptPart part : parts)
         m_log.info("prompt_part_suspected",
                    {{"request", requestId}, {"endpoint", endpoint.id}, {"part", toText(part)}});
-    for (const PromptPart part :
-         m_quarantine.recordEnd(parts, {identify(endpoint), m_clock.now(), isRepeated}))
-        m_log.warning("prompt_part_quarantined", {{"part", toText(part)}, {"source", "own"}});
+    logChange(m_quarantine.recordEnd(parts, {identify(endpoint), m_clock.now(), isRepeated}),
+              "own");
     m_callbacks.changed();
 }
 
 void PromptGuard::answered(const PromptParts &parts)
 {
-    const std::size_t before = m_quarantine.quarantinedCount();
-    for (const PromptPart part : m_quarantine.recordAnswer(parts, m_clock.now()))
-        m_log.info("prompt_part_cleared", {{"part", toText(part)}});
-    if (m_quarantine.quarantinedCount() != before)
+    const QuarantineChange change = m_quarantine.recordAnswer(parts, m_clock.now());
+    logChange(change, "own");
+    if (!change.isEmpty())
         m_callbacks.changed();
 }
 
+void PromptGuard::logChange(const QuarantineChange &change, std::string_view source)
+{
+    for (const PromptPart part : change.added)
+        m_log.warning("prompt_part_quarantined", {{"part", toText(part)}, {"source", source}});
+    for (const PromptPart part : change.removed)
+        m_log.info("prompt_part_cleared", {{"part", toText(part)}, {"source", source}});
+}
+
 void PromptGuard::fillReport(wire::FleetReportT &report) const
 {
     for (const PromptPartReport &part : m_quarantine.reports(m_clock.now())) {
@@ -107,6 +114,7 @@
 
 void PromptGuard::handleReport(const std::string &peer, const wire::FleetReportT &report)
 {
+    std::vector<PromptPartReport> parts;
     for (const auto &entry : report.promptParts) {
         PromptPartReport part;
         part.part = entry->part;
@@ -115,10 +123,9 @@
             part.answeredAge = milliseconds{entry->answeredAgeMs};
         for (const wire::EndpointEndMark &end : entry->ends)
             part.ends.push_back({end.endpoint(), milliseconds{end.ageMs()}, end.isRepeated()});
-        for (const PromptPart quarantined : m_quarantine.recordPeer(part, m_clock.now()))
-            m_log.warning("prompt_part_quarantined",
-                          {{"part", toText(quarantined)}, {"source", peer}});
+        parts.push_back(std::move(part));
     }
+    logChange(m_quarantine.recordPeer(parts, m_clock.now()), peer);
 }
 
 void PromptGuard::updateMetrics()
--- a/src/serving/promptguard.h
+++ b/src/serving/promptguard.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace pistachiofall {
 
@@ -54,6 +55,8 @@
     void updateMetrics();
 
 private:
+    void logChange(const QuarantineChange &change, std::string_view source);
+
     const Clock &m_clock;
     DecisionLog &m_log;
     MetricsRegistry &m_metrics;
--- a/tests/system/promptparttest.cpp
+++ b/tests/system/promptparttest.cpp
@@ -128,3 +128,36 @@
     std::printf("%d endpoints ended\n", harmed.ends());
     CHECK(harmed.ends() <= MaxEnds + 3);
 }
+
+// Guards against sound items that are never sent, because other instances blame the parts that they
+// share with an item which has ended endpoints. The order in a report follows the parts' hashes, so
+// that four of them stand on either side of the harmful one.
+TEST(PromptPart, PeersHoldNoSoundItemsBack)
+{
+    const std::vector<std::string> soundParts{"aa01", "aa02", "aa03", "aa04"};
+    HarmedFleet harmed;
+    const auto submit = [&harmed](int instance, const std::string &job, const std::string &parts) {
+        const std::string body = R"({"items":[{"id":"item-)" + job
+                + R"(","path":"/batch/stream/1","headers":{"Model":"m","Prompt-Prefix":")" + parts
+                + R"(,own:9"},"body":"q83v","tokens":9}]})";
+        CHECK_EQUAL(202U, harmed.fleet().call(instance, "POST", "/batch/j", job, body).status);
+    };
+    std::string shared;
+    for (const std::string &part : soundParts)
+        shared += part + ":100,";
+    submit(0, "harmful", shared + "bad0:10");
+    CHECK(waitUntil(seconds{15}, [&harmed] {
+        std::this_thread::sleep_for(milliseconds{50});
+        harmed.replaceEnded();
+        return harmed.ends() >= 3;
+    }));
+    std::this_thread::sleep_for(milliseconds{500});
+    for (const std::string &part : soundParts)
+        submit(1, "sound-" + part, part + ":100");
+    for (const std::string &part : soundParts)
+        CHECK(waitUntil(seconds{18}, [&] {
+            const std::string target = "/api/lots/sound-" + part + "?after=0";
+            return harmed.fleet().call(2, "GET", target, "read").contains("\"next\":1");
+        }));
+    CHECK(harmed.ends() <= MaxEnds);
+}
