--- a/src/serving/jobformat.cpp
+++ b/src/serving/jobformat.cpp
@@ -3,6 +3,8 @@
 #include "store/base64.h"
 #include "store/jsonfields.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <boost/json/array.hpp>
@@ -71,6 +73,15 @@
     return {{"id", result.itemId}, {"dead", result.isDead}, {"output", result.output}};
 }
 
+json::array encodeFailures(const std::map<std::string, ItemFailures> &failures)
+{
+    json::array encoded;
+    for (const auto &[item, known] : failures)
+        encoded.push_back(json::object{
+                {"id", item}, {"count", known.count}, {"unprocessable", known.isUnprocessable}});
+    return encoded;
+}
+
 json::object encodeStatus(const JobRecord &record)
 {
     json::array parts;
@@ -80,10 +91,13 @@
     const std::size_t left = record.resultsInParts() - record.missingResults;
     for (std::size_t index = left; index < record.results.size(); ++index)
         results.push_back(encodeResult(record.results[index]));
-    return {{"owner", record.owner},
-            {"ended", record.hasEnded},
-            {"parts", std::move(parts)},
-            {"results", std::move(results)}};
+    json::object status{{"owner", record.owner},
+                        {"ended", record.hasEnded},
+                        {"parts", std::move(parts)},
+                        {"results", std::move(results)}};
+    if (!record.failures.empty())
+        status["failures"] = encodeFailures(record.failures);
+    return status;
 }
 
 bool boolField(const json::value &value, std::string_view name)
@@ -97,6 +111,14 @@
     return {textField(value, {"id"}), boolField(value, "dead"), textField(value, {"output"})};
 }
 
+ItemFailures decodeFailures(const json::value &value)
+{
+    const std::int64_t count = integerField(value, "count");
+    constexpr std::int64_t MaxCount = std::numeric_limits<int>::max();
+    return {static_cast<int>(std::clamp<std::int64_t>(count, 0, MaxCount)),
+            boolField(value, "unprocessable")};
+}
+
 void decodeStatus(const json::value &status, JobRecord &record)
 {
     const std::string owner = textField(status, {"owner"});
@@ -108,6 +130,11 @@
                                                       : 0);
     for (const json::value &each : arrayField(status, {"results"}))
         record.results.push_back(decodeResult(each));
+    for (const json::value &each : arrayField(status, {"failures"})) {
+        const ItemFailures failures = decodeFailures(each);
+        if (failures.hasAny())
+            record.failures[textField(each, {"id"})] = failures;
+    }
     record.missingResults = record.resultsInParts();
     record.storedResults = record.resultCount();
 }
@@ -191,6 +218,14 @@
     return size;
 }
 
+std::size_t encodedSize(const std::map<std::string, ItemFailures> &failures)
+{
+    std::size_t size = 0;
+    for (const auto &[item, known] : failures)
+        size += item.size() + FieldOverhead;
+    return size;
+}
+
 json::value encodeJobResults(const std::vector<JobResult> &results)
 {
     json::array encoded;
--- a/src/serving/jobformat.h
+++ b/src/serving/jobformat.h
@@ -5,6 +5,7 @@
 #include "serving/jobrecord.h"
 #include "store/objectspace.h"
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,8 @@
 
 /// Upper bound for the encoded size of a result in bytes.
 std::size_t encodedSize(const JobResult &result);
+/// Upper bound for the encoded size of the failures in bytes.
+std::size_t encodedSize(const std::map<std::string, ItemFailures> &failures);
 /// Encodes the results of one part, which is a store object of its own.
 boost::json::value encodeJobResults(const std::vector<JobResult> &results);
 /// ProtocolError if the part has no results.
--- a/src/serving/jobrecord.h
+++ b/src/serving/jobrecord.h
@@ -5,12 +5,25 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <numeric>
 #include <string>
 #include <vector>
 
 namespace pistachiofall {
 
+/// What is known of the failed runs of an item without a result.
+struct ItemFailures
+{
+    /// The number of runs that ended with a server error of the endpoint.
+    int count = 0;
+    /// An endpoint has said that the item can never be done.
+    bool isUnprocessable = false;
+
+    bool hasAny() const { return count > 0 || isUnprocessable; }
+    bool operator==(const ItemFailures &other) const = default;
+};
+
 /// The stored state of a batch job: everything except its items.
 struct JobRecord
 {
@@ -43,6 +56,9 @@
     std::size_t missingResults = 0;
     /// The number of results that the store is known to hold.
     std::size_t storedResults = 0;
+    /// The failures of items without a result, by item. They outlive the owner, so that the next
+    /// one sends no item that is known to fail more often than it may be sent.
+    std::map<std::string, ItemFailures> failures;
 
     std::size_t resultCount() const { return missingResults + results.size(); }
     /// The number of results stored in parts.
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -17,12 +17,6 @@
 
 namespace {
 
-// The shortest interval between two writes of a job's results. Callers read a job twice a second.
-constexpr milliseconds MinWriteInterval{1000};
-// Results that are not due soon are collected for this part of the time that is left.
-constexpr int WriteIntervalDivisor = 6;
-constexpr milliseconds WriteRetryDelay{100};
-constexpr milliseconds WritePollInterval{10};
 // An item starts only if the store has confirmed within this time that its job is open and owned by
 // this instance. The API guarantees that no item of an ended job starts more than 3 s after the
 // end.
@@ -45,23 +39,16 @@
 constexpr unsigned UnprocessableStatus = 422;
 constexpr unsigned MinServerErrorStatus = 500;
 
-// Each write of results stores all of them again, so the writes of a long job are spread over the
-// time until it is due.
-milliseconds writeInterval(SteadyTime::duration untilDue)
-{
-    const auto part = std::chrono::duration_cast<milliseconds>(untilDue) / WriteIntervalDivisor;
-    return std::max(MinWriteInterval, part);
-}
-
 } // namespace
 
 JobRunner::JobRunner(const asio::any_io_executor &executor, ServingDependencies dependencies,
                      JobStore &store, std::string owner, Callbacks callbacks)
     : m_executor(executor)
     , m_dependencies(std::move(dependencies))
-    , m_store(store)
     , m_owner(std::move(owner))
     , m_callbacks(std::move(callbacks))
+    , m_writer(executor, m_dependencies.clock, m_dependencies.log, store, m_owner,
+               [this](const JobPtr &job, std::string_view reason) { release(job, reason); })
     , m_adopter(executor, m_dependencies.clock, m_dependencies.log, store, m_owner,
                 adopterCallbacks())
 { }
@@ -116,6 +103,11 @@
                 job->progress[index].state = ItemProgress::State::Finished;
         }
     }
+    for (std::size_t index = 0; index < items.size(); ++index) {
+        const auto failures = record.failures.find(items[index].id);
+        if (failures != record.failures.end())
+            job->progress[index].failures = failures->second;
+    }
     job->due = now + record.dueAfter - std::chrono::duration_cast<std::chrono::nanoseconds>(age);
     job->confirmed = confirmed;
     job->readLease.recordConfirmation(confirmed);
@@ -155,16 +147,21 @@
         ItemProgress &progress = job.progress[index];
         progress.service =
                 route == nullptr ? std::string() : std::string(chooseService(*route, item.id));
+        progress.attempts = route == nullptr ? 0 : route->attempts;
     }
 }
 
 // Why an item can not run, whether or not there is a slot; empty if it can.
 std::string_view JobRunner::reasonToGiveUp(const OwnedJob &job, const ItemProgress &progress) const
 {
+    if (progress.failures.isUnprocessable)
+        return "can_not_be_done";
     if (m_dependencies.clock.wallNow() > job.record.submitted + job.record.retention)
         return "retention";
     if (progress.service.empty())
         return "no_route";
+    if (progress.failures.count > 0 && progress.failures.count >= progress.attempts)
+        return "failed_too_often";
     return {};
 }
 
@@ -185,6 +182,8 @@
         finishAsDead(job, index, reasonToGiveUp(*job, job->progress[index]));
 }
 
+// An item that has failed waits until the store holds its failures: were this instance lost, the
+// next owner would not know of them.
 ItemQueues JobRunner::pendingItems()
 {
     const auto now = m_dependencies.clock.now();
@@ -192,7 +191,9 @@
     for (const auto &[id, job] : m_jobs) {
         for (std::size_t index = 0; index < job->items.size(); ++index) {
             const ItemProgress &progress = job->progress[index];
-            if (progress.state == ItemProgress::State::Pending && progress.notBefore <= now)
+            const bool isReady = progress.state == ItemProgress::State::Pending
+                    && progress.notBefore <= now && job->areFailuresStored(index);
+            if (isReady)
                 pending.add(progress.service, {rankOf(*job, progress), job, index});
         }
     }
@@ -246,7 +247,7 @@
                                {{"job", job->record.id},
                                 {"item", job->items[index].id},
                                 {"reason", reason},
-                                {"failures", job->progress[index].failures}});
+                                {"failures", job->progress[index].failures.count}});
     finishItem(job, index, {job->items[index].id, true, {}});
 }
 
@@ -283,7 +284,7 @@
         co_return std::nullopt;
     if (job->readLease.mayAnswer(m_dependencies.clock.bootNow()))
         co_return job->record;
-    const bool isRead = co_await reconcile(job);
+    const bool isRead = co_await m_writer.reconcile(job);
     if (job->isReleased || !isRead)
         co_return std::nullopt;
     co_return job->record;
@@ -300,7 +301,7 @@
         co_return true;
     // Set before the read, so that items that start together cause one read only.
     job->confirmed = m_dependencies.clock.bootNow();
-    co_await reconcile(job);
+    co_await m_writer.reconcile(job);
     co_return !job->isReleased;
 }
 
@@ -413,24 +414,30 @@
                                       const AnswerHead &responseHead, ResponseKind kind)
 {
     ItemProgress &progress = job->progress[index];
-    const JobItem &item = job->items[index];
     progress.notBefore = m_dependencies.clock.now() + RetryDelay;
     progress.call->cancel();
     if (kind == ResponseKind::WrongEndpoint || kind == ResponseKind::Unverified)
         m_dependencies.board.recordFailure(progress.endpoint, m_dependencies.clock.now());
     if (kind != ResponseKind::Failure)
         return;
-    if (responseHead.status == UnprocessableStatus) {
-        finishAsDead(job, index, "can_not_be_done");
+    if (responseHead.status == UnprocessableStatus)
+        progress.failures.isUnprocessable = true;
+    else if (responseHead.status >= MinServerErrorStatus)
+        ++progress.failures.count;
+    else
         return;
-    }
-    if (responseHead.status < MinServerErrorStatus)
+    m_dependencies.log.warning("item_failed",
+                               {{"job", job->record.id},
+                                {"item", job->items[index].id},
+                                {"endpoint", progress.endpoint},
+                                {"status", static_cast<int>(responseHead.status)},
+                                {"failures", progress.failures.count}});
+    if (job->isReleased)
         return;
-    ++progress.failures;
-    const ServingConfig::Ptr config = m_callbacks.config();
-    const ServingRoute *route = config ? config->findRoute(job->record.host, item.path) : nullptr;
-    if (route != nullptr && progress.failures >= route->attempts)
-        finishAsDead(job, index, "failed_too_often");
+    m_writer.requestWrite(job);
+    const std::string_view reason = reasonToGiveUp(*job, progress);
+    if (!reason.empty())
+        finishAsDead(job, index, reason);
 }
 
 void JobRunner::finishItem(const JobPtr &job, std::size_t index, JobResult result)
@@ -445,80 +452,7 @@
     if (job->unwritten.empty())
         job->oldestUnwritten = m_dependencies.clock.now();
     job->unwritten.push_back(std::move(result));
-    if (!job->isWriting) {
-        job->isWriting = true;
-        asio::co_spawn(m_executor, writeResults(job), asio::detached);
-    }
-}
-
-// Writes results until none is left to write, then releases the job if it is complete.
-asio::awaitable<void> JobRunner::writeResults(JobPtr job)
-{
-    while (!job->unwritten.empty() && !job->isReleased) {
-        const auto now = m_dependencies.clock.now();
-        const bool isComplete = job->finishedCount() == job->record.itemCount;
-        const auto dueIn = job->oldestUnwritten + writeInterval(job->due - now) - now;
-        const bool isHeldBack = m_dependencies.clock.bootNow() < job->readLease.resultsFrom();
-        if (isHeldBack || (!isComplete && !m_isStopping && dueIn.count() > 0)) {
-            // Sleeps in short steps, because the last result of the job is written at once.
-            const auto wait = std::max(std::chrono::ceil<milliseconds>(dueIn), WritePollInterval);
-            co_await sleepFor(std::min(wait, WriteRetryDelay));
-            continue;
-        }
-        JobRecord next = job->record;
-        next.owner = m_owner;
-        next.results.insert(next.results.end(), job->unwritten.begin(), job->unwritten.end());
-        const auto sent = m_dependencies.clock.bootNow();
-        job->readLease.recordWriteSent();
-        auto written = co_await m_store.write(std::move(next));
-        if (isOk(written)) {
-            job->readLease.recordWriteSettled();
-            job->readLease.recordConfirmation(sent);
-            job->applyStored(valueOf(std::move(written)), sent);
-            job->oldestUnwritten = m_dependencies.clock.now();
-            releaseIfNotOwned(job);
-            continue;
-        }
-        m_dependencies.log.warning("results_not_written",
-                                   {{"job", job->record.id}, {"reason", errorOf(written).message}});
-        if (isCertainlyNotApplied(errorOf(written)))
-            job->readLease.recordWriteSettled();
-        else
-            job->readLease.recordWriteUncertain();
-        co_await reconcile(job);
-        if (!job->isReleased)
-            co_await sleepFor(WriteRetryDelay);
-    }
-    job->isWriting = false;
-    if (!job->isReleased && job->record.results.size() >= job->record.itemCount)
-        release(job, "complete");
-}
-
-// Reads the job and applies the stored state. Releases the job if it no longer exists, has ended or
-// belongs to another owner. Returns false if the read failed.
-asio::awaitable<bool> JobRunner::reconcile(JobPtr job)
-{
-    std::string id = job->record.id;
-    const auto sent = m_dependencies.clock.bootNow();
-    auto stored = co_await m_store.read(std::move(id));
-    if (!isOk(stored)) {
-        if (errorOf(stored).code == ErrorCode::NotFound)
-            release(job, "not_stored");
-        co_return false;
-    }
-    if (valueOf(stored).owner == m_owner)
-        job->readLease.recordConfirmation(sent);
-    job->applyStored(valueOf(std::move(stored)), sent);
-    releaseIfNotOwned(job);
-    co_return true;
-}
-
-void JobRunner::releaseIfNotOwned(const JobPtr &job)
-{
-    if (job->record.owner != m_owner)
-        release(job, "other_owner");
-    else if (job->record.hasEnded)
-        release(job, "ended");
+    m_writer.requestWrite(job);
 }
 
 void JobRunner::release(const JobPtr &job, std::string_view reason)
@@ -592,6 +526,7 @@
 void JobRunner::stop()
 {
     m_isStopping = true;
+    m_writer.stop();
     m_adopter.stop();
     for (const auto &[id, job] : m_jobs) {
         for (ItemProgress &progress : job->progress) {
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -4,6 +4,7 @@
 #include "serving/itemqueues.h"
 #include "serving/jobadopter.h"
 #include "serving/jobstore.h"
+#include "serving/jobwriter.h"
 #include "serving/onlineservice.h"
 #include "serving/ownedjob.h"
 
@@ -100,17 +101,14 @@
     void handleFailureResponse(const JobPtr &job, std::size_t index, const AnswerHead &responseHead,
                                ResponseKind kind);
     void finishItem(const JobPtr &job, std::size_t index, JobResult result);
-    boost::asio::awaitable<void> writeResults(JobPtr job);
-    boost::asio::awaitable<bool> reconcile(JobPtr job);
-    void releaseIfNotOwned(const JobPtr &job);
     void release(const JobPtr &job, std::string_view reason);
     JobAdopter::Callbacks adopterCallbacks();
 
     boost::asio::any_io_executor m_executor;
     ServingDependencies m_dependencies;
-    JobStore &m_store;
     std::string m_owner;
     Callbacks m_callbacks;
+    JobWriter m_writer;
     JobAdopter m_adopter;
     std::map<std::string, JobPtr> m_jobs;
     /// By service, as items of different services differ in size.
--- a/src/serving/jobstore.cpp
+++ b/src/serving/jobstore.cpp
@@ -34,7 +34,7 @@
 {
     const std::size_t inParts = record.resultsInParts() - record.missingResults;
     std::size_t count = inParts;
-    std::size_t size = 0;
+    std::size_t size = encodedSize(record.failures);
     while (count < record.results.size()) {
         size += encodedSize(record.results[count]);
         if (size > maxBytes && count > inParts)
--- a/src/serving/ownedjob.h
+++ b/src/serving/ownedjob.h
@@ -9,7 +9,10 @@
 #include "serving/jobrecord.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,8 +31,9 @@
     std::string output;
     bool hasOutput = false;
     std::optional<std::uint64_t> lastEventId;
-    /// The number of runs that ended with a server error of the endpoint.
-    int failures = 0;
+    ItemFailures failures;
+    /// The number of failures after which the item is given up, by its route.
+    int attempts = 0;
     /// The endpoint and the call while the item is running.
     std::string endpoint;
     std::shared_ptr<EndpointCall> call;
@@ -67,13 +71,25 @@
     /// Whether reads are answered from memory.
     ReadLease readLease;
     SteadyTime oldestUnwritten{};
+    /// When failures of items were last sent to the store.
+    SteadyTime lastFailureWrite{};
     bool isWriting = false;
+    /// Ends the sleep of the writer; null when it is not asleep.
+    std::function<void()> wakeWriter;
     /// Set when this instance no longer runs the job: it is complete, has ended, is no longer
     /// stored, or has another owner.
     bool isReleased = false;
 
     std::size_t finishedCount() const { return record.results.size() + unwritten.size(); }
 
+    /// The failures of the items that are neither among the results nor finished in the store, by
+    /// item.
+    std::map<std::string, ItemFailures>
+    unfinishedFailures(const std::vector<JobResult> &results) const;
+    /// Whether the store holds the failures of the item, so that they outlive this owner.
+    bool areFailuresStored(std::size_t index) const;
+    bool hasUnstoredFailures() const;
+
     /// Applies a state returned by a read or by an acknowledged write, and removes the results that
     /// it contains from the unwritten ones. The call was sent at the time given. Reads and writes
     /// of a job overlap, so a read may return the results of a write before the write is
--- a/tests/serving/jobformattest.cpp
+++ b/tests/serving/jobformattest.cpp
@@ -97,3 +97,24 @@
     object.name = "note";
     CHECK_FALSE(isOk(decodeJobRecord(object)));
 }
+
+// Guards against failures that are lost on the way to the next owner, and against entries that no
+// owner has written.
+TEST(JobFormat, FailuresRoundTrip)
+{
+    JobRecord record;
+    record.id = "job-1";
+    record.host = "desk.example";
+    record.itemCount = 3;
+    record.failures["a"] = {2, false};
+    record.failures["b"] = {0, true};
+    const auto decoded = decodeJobRecord(encodeJobRecord(record));
+    CHECK(isOk(decoded));
+    CHECK(valueOf(decoded).failures == record.failures);
+    SpaceObject odd = encodeJobRecord(record);
+    odd.status.as_object()["failures"] = boost::json::array{
+            7, boost::json::object{{"id", "c"}, {"count", -4}, {"unprocessable", "yes"}}};
+    const auto read = decodeJobRecord(odd);
+    CHECK(isOk(read));
+    CHECK(valueOf(read).failures.empty());
+}
--- a/tests/serving/ownedjobtest.cpp
+++ b/tests/serving/ownedjobtest.cpp
@@ -72,3 +72,27 @@
     CHECK(job.applyStored(recordWith(job, 5, {}), Start));
     LONGS_EQUAL(2, job.unwritten.size());
 }
+
+// Guards against failures that are forgotten with their owner, or stored for finished items.
+TEST(OwnedJob, FailuresAreToBeStoredUntilTheItemHasAResult)
+{
+    OwnedJob job = jobOf(5, {});
+    job.items.resize(2);
+    job.items[0].id = "a";
+    job.items[1].id = "b";
+    job.progress.resize(2);
+    CHECK(!job.hasUnstoredFailures());
+    job.progress[0].failures.count = 2;
+    job.progress[1].failures.isUnprocessable = true;
+    CHECK(job.hasUnstoredFailures());
+    CHECK(!job.areFailuresStored(0));
+    LONGS_EQUAL(2, job.unfinishedFailures({}).size());
+    LONGS_EQUAL(1, job.unfinishedFailures({result("b")}).size());
+    JobRecord written = recordWith(job, 6, {result("b")});
+    written.failures["a"] = {2, false};
+    CHECK(job.applyStored(written, Start));
+    CHECK(job.areFailuresStored(0));
+    CHECK(!job.hasUnstoredFailures());
+    ++job.progress[0].failures.count;
+    CHECK(job.hasUnstoredFailures());
+}
