Refuse late in a planned stop what can not be answered in it (report of another operator)

The report: in a planned stop, requests that came late in the grace period were passed on and cut at its end without an answer, among them some that may not be repeated.

It could happen here. A connection that was promised to stay open before the signal, such as one with a stream, takes one more request within a second after that answer, at any time of the grace period; that request was passed on whatever its deadline. And what was not done at the end was cut without an answer.

Change: StopSchedule. While the load balancer may still pick the instance (2.3 s, or a third of the grace period), requests are taken as before; later ones, calls for jobs too, only if their deadline ends 700 ms before the grace period does, others get 503 as not run. At that time requests without an answer get one: 503 if they have not run, 504 else; streams break off.

Paths looked at: requests, streams, queued requests, results, bodies and ends of jobs, submissions. Items are cancelled at the signal and taken over; peers and the store hold nothing of callers. Not changed: "serve", whose drain time is a setting of 30 s; the same can happen there at its end.

--- a/src/serving/ingress.cpp
+++ b/src/serving/ingress.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t MaxBodyBytes = std::size_t{8} << 20U;
 // Without a configuration this instance is not ready, and a retry reaches another one.
 constexpr milliseconds RetryAfterNoConfig{300};
+// Another instance serves the request at once.
+constexpr milliseconds RetryAfterStopping{100};
 // For requests without a deadline header.
 constexpr milliseconds DefaultDeadline{30000};
 
@@ -42,6 +44,19 @@
     co_await exchange.respond(std::move(answer));
 }
 
+bool Ingress::mayPassOn(SteadyTime deadline) const
+{
+    return !m_stop || m_stop->mayPassOn(m_dependencies.clock.now(), deadline);
+}
+
+asio::awaitable<void> Ingress::refuseStopping(ServerExchange &exchange, std::string requestId)
+{
+    m_dependencies.metrics.counter("requests_total", {{"outcome", "stopping"}}).add();
+    m_dependencies.log.info("request_refused", {{"request", requestId}, {"reason", "stopping"}});
+    const Error error{ErrorCode::Unavailable, "this instance is about to stop"};
+    co_await m_online.refuse(exchange, error, RetryAfterStopping);
+}
+
 asio::awaitable<void> Ingress::handle(ServerExchange &exchange)
 {
     OnlineRequest request;
@@ -69,6 +84,8 @@
     if (!std::holds_alternative<ForwardCall>(valueOf(call))) {
         if (organisation == nullptr)
             co_await reject(exchange, request, unknownKey);
+        else if (!mayPassOn(request.arrival + JobService::CallTimeout))
+            co_await refuseStopping(exchange, request.metadata.requestId);
         else
             co_await handleJobCall(exchange, valueOf(std::move(call)), *organisation);
         co_return;
@@ -112,7 +129,12 @@
     if (request.route->timeout.count() > 0)
         timeLimit = std::min(timeLimit, request.route->timeout);
     request.deadline = request.arrival + timeLimit;
-    if (request.route->kind == RouteKind::Batch) {
+    const bool isJob = request.route->kind == RouteKind::Batch;
+    if (!mayPassOn(isJob ? request.arrival + JobService::CallTimeout : request.deadline)) {
+        co_await refuseStopping(exchange, request.metadata.requestId);
+        co_return;
+    }
+    if (isJob) {
         co_await m_jobs.submit(exchange, std::move(request));
         co_return;
     }
--- a/src/serving/ingress.h
+++ b/src/serving/ingress.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "fleet/stopschedule.h"
 #include "serving/configholder.h"
 #include "serving/jobservice.h"
 #include "serving/onlineservice.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -22,10 +24,15 @@
     /// Processes one request and sends the response.
     boost::asio::awaitable<void> handle(ServerExchange &exchange);
 
+    /// The instance is asked to stop. From now on the schedule decides which requests are taken.
+    void stop(const StopSchedule &schedule) { m_stop = schedule; }
+
 private:
     boost::asio::awaitable<void> handleRequest(ServerExchange &exchange, OnlineRequest request);
     boost::asio::awaitable<void> handleJobCall(ServerExchange &exchange, ApiCall call,
                                                const ServingOrganisation &organisation);
+    bool mayPassOn(SteadyTime deadline) const;
+    boost::asio::awaitable<void> refuseStopping(ServerExchange &exchange, std::string requestId);
     boost::asio::awaitable<void> reject(ServerExchange &exchange, const OnlineRequest &request,
                                         Error error);
 
@@ -33,6 +40,8 @@
     const ConfigHolder &m_config;
     OnlineService &m_online;
     JobService &m_jobs;
+    /// Set once the instance is asked to stop.
+    std::optional<StopSchedule> m_stop;
 };
 
 } // namespace pistachiofall
--- a/src/serving/jobservice.cpp
+++ b/src/serving/jobservice.cpp
@@ -17,9 +17,6 @@
 // Interval at which a waiting read checks for new results.
 constexpr milliseconds ResultPollInterval{700};
 constexpr milliseconds RetryAfter{300};
-// Limit for storing a new job, enough for the store to decide. The caller can retry in the time
-// that is left.
-constexpr milliseconds SubmitTimeout{2500};
 constexpr std::size_t MaxCachedRecords = 256;
 constexpr int MaxEndAttempts = 6;
 constexpr milliseconds EndRetryDelay{50};
@@ -76,7 +73,7 @@
     record.retention = request.route->retention;
     record.owner = m_runner.owner();
     std::vector<JobItem> copies = valueOf(items);
-    const auto deadline = std::min(request.deadline, request.arrival + SubmitTimeout);
+    const auto deadline = std::min(request.deadline, request.arrival + CallTimeout);
     const auto sent = m_dependencies.clock.bootNow();
     auto stored = co_await m_store.create(std::move(record), std::move(copies), deadline);
     if (isOk(stored)) {
--- a/src/serving/jobservice.h
+++ b/src/serving/jobservice.h
@@ -5,6 +5,7 @@
 #include "serving/jobstore.h"
 #include "serving/onlineservice.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +19,9 @@
 class JobService
 {
 public:
+    /// The longest time that a call takes.
+    static constexpr std::chrono::milliseconds CallTimeout{2500};
+
     /// Notifies the other instances that a job has ended.
     using EndNotifier = std::function<void(const std::string &id)>;
 
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -62,6 +62,7 @@
     std::string lastFailure;
     /// Cancels the current attempt at the deadline.
     std::optional<asio::steady_timer> timer;
+    std::weak_ptr<EndpointCall> call;
 };
 
 /// One attempt at an endpoint. The destructor releases its slot.
@@ -98,6 +99,25 @@
     milliseconds eventTimeout{0};
 };
 
+/// Lists a request among the active ones for as long as the object lives.
+class OnlineService::ActiveRequest
+{
+public:
+    ActiveRequest(std::set<RequestContext *> &all, RequestContext &context)
+        : m_all(all)
+        , m_context(context)
+    {
+        m_all.insert(&m_context);
+    }
+    ~ActiveRequest() { m_all.erase(&m_context); }
+    ActiveRequest(const ActiveRequest &) = delete;
+    ActiveRequest &operator=(const ActiveRequest &) = delete;
+
+private:
+    std::set<RequestContext *> &m_all;
+    RequestContext &m_context;
+};
+
 OnlineService::OnlineService(ServingDependencies dependencies)
     : m_dependencies(std::move(dependencies))
 { }
@@ -134,12 +154,27 @@
     if (const auto wait =
                 m_dependencies.promptGuard.findRejection(context.request.metadata.sharedParts))
         context.refusal = SlotRefusal{SlotRefusalReason::Quarantined, *wait};
+    const ActiveRequest active(m_active, context);
     while (mayRetry(context))
         co_await attempt(exchange, context);
     if (!context.isFinished)
         co_await respondWithFailure(exchange, context);
 }
 
+void OnlineService::endAll()
+{
+    m_dependencies.scheduler.refuseAll();
+    for (RequestContext *context : m_active) {
+        m_dependencies.log.warning("request_cut",
+                                   {{"request", context->request.metadata.requestId},
+                                    {"runs", context->possibleRuns},
+                                    {"streaming", context->isStreaming ? "yes" : "no"}});
+        context->request.deadline = m_dependencies.clock.now();
+        if (const auto call = context->call.lock())
+            call->cancel();
+    }
+}
+
 asio::awaitable<void> OnlineService::attempt(ServerExchange &exchange, RequestContext &context)
 {
     const OnlineRequest &request = context.request;
@@ -223,6 +258,7 @@
     attempt.firstEventTimeout = options.firstByteTimeout;
     attempt.eventTimeout = options.gapTimeout;
     attempt.call = m_dependencies.client->prepare(endpoint.address, std::move(sent), options);
+    context.call = attempt.call;
     context.caller.onDisconnect([call = attempt.call] { call->cancel(); });
     context.timer->expires_at(request.deadline);
     context.timer->async_wait([call = attempt.call](const boost::system::error_code &error) {
--- a/src/serving/onlineservice.h
+++ b/src/serving/onlineservice.h
@@ -15,6 +15,7 @@
 #include "serving/servingprotocol.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -49,6 +50,10 @@
     /// Runs the request and sends its response.
     boost::asio::awaitable<void> serve(ServerExchange &exchange, OnlineRequest request);
 
+    /// Ends all requests: those that are not answered yet get an error, streams break off. The
+    /// instance is about to end.
+    void endAll();
+
     /// Responds with an error that says that the request has not run and when to retry.
     boost::asio::awaitable<void> refuse(ServerExchange &exchange, const Error &error,
                                         std::chrono::milliseconds retryAfter);
@@ -56,6 +61,7 @@
 private:
     struct RequestContext;
     struct Attempt;
+    class ActiveRequest;
 
     boost::asio::awaitable<void> attempt(ServerExchange &exchange, RequestContext &context);
     boost::asio::awaitable<void> send(RequestContext &context, Attempt &attempt);
@@ -73,6 +79,7 @@
     bool mayRetry(const RequestContext &context) const;
 
     ServingDependencies m_dependencies;
+    std::set<RequestContext *> m_active;
 };
 
 } // namespace pistachiofall
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -253,6 +253,15 @@
     }
 }
 
+void Scheduler::refuseAll()
+{
+    for (const auto &[id, waiter] : m_waiters) {
+        waiter->hasNoEndpoint = true;
+        waiter->timer.cancel();
+        m_queue.remove(id);
+    }
+}
+
 void Scheduler::preemptWhereFull()
 {
     for (const auto &[endpoint, use] : m_board.localUsage()) {
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -84,6 +84,9 @@
     /// iterates over all endpoints.
     void scheduleUpdate();
 
+    /// Refuses all requests that are waiting.
+    void refuseAll();
+
     /// The number of requests waiting at this instance, by service.
     std::map<std::string, int> queueCounts() const { return m_queue.counts(); }
     /// The load of a service, including the requests that are waiting at peers.
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -4,6 +4,7 @@
 #include "base/decisionlog.h"
 #include "base/stablehash.h"
 #include "base/systemclock.h"
+#include "fleet/stopschedule.h"
 #include "http/endpointclient.h"
 #include "http/httplistener.h"
 #include "serving/configfetcher.h"
@@ -53,10 +54,6 @@
 };
 
 constexpr milliseconds TickInterval{50};
-// The load balancer removes an instance after two failed readiness probes, one second apart.
-constexpr milliseconds BalancerDrainTime{2300};
-// The part of the grace period kept in reserve, so that the process exits before the period ends.
-constexpr milliseconds ShutdownReserve{700};
 // A peer that has been up for the quota window plus this margin has seen a whole window of
 // requests.
 constexpr milliseconds QuotaMemoryMargin{500};
@@ -114,6 +111,7 @@
     asio::awaitable<void> tick();
     asio::awaitable<void> waitForSignals();
     asio::awaitable<void> stopGracefully();
+    milliseconds timeUntil(SteadyTime time) const;
     void reloadSettings();
 
     FleetSettings settings;
@@ -539,6 +537,11 @@
     }
 }
 
+milliseconds ServingInstance::Data::timeUntil(SteadyTime time) const
+{
+    return std::max(milliseconds{0}, std::chrono::ceil<milliseconds>(time - clock.now()));
+}
+
 void ServingInstance::Data::reloadSettings()
 {
     const auto loaded = loadFleetSettings(settingsFile);
@@ -554,15 +557,19 @@
 
 asio::awaitable<void> ServingInstance::Data::stopGracefully()
 {
-    const auto deadline = clock.now() + settings.stopGrace - ShutdownReserve;
+    const StopSchedule schedule(clock.now(), settings.stopGrace);
     jobs->stop();
     peers.setLeaving();
     if (callerListener) {
+        ingress->stop(schedule);
         callerListener->closeAfterAnswers();
-        co_await sleepFor(std::min<milliseconds>(BalancerDrainTime, settings.stopGrace / 3));
+        co_await sleepFor(timeUntil(schedule.acceptsUntil()));
         callerListener->stop();
-        const auto left = duration_cast<milliseconds>(deadline - clock.now());
-        const bool isDrained = co_await callerListener->waitStopped(left);
+        bool isDrained = co_await callerListener->waitStopped(timeUntil(schedule.answersUntil()));
+        if (!isDrained) {
+            online->endAll();
+            isDrained = co_await callerListener->waitStopped(timeUntil(schedule.end()));
+        }
         log.info("callers_done", {{"drained", isDrained ? "yes" : "no"}});
     }
     log.info("stopped", {});
