--- a/src/http/clientshared.h
+++ b/src/http/clientshared.h
@@ -16,11 +16,13 @@
         : executor(ioExecutor)
         , metrics(registry)
         , pool(settings, metrics.idleConnections)
+        , answerBudget(settings.answerBudget)
     { }
 
     boost::asio::any_io_executor executor;
     ClientMetrics metrics;
     ConnectionPool pool;
+    std::shared_ptr<BufferBudget> answerBudget;
 };
 
 } // namespace pistachiofall::detail
--- a/src/http/endpointcall.cpp
+++ b/src/http/endpointcall.cpp
@@ -37,6 +37,7 @@
         , address(endpoint)
         , request(std::move(endpointRequest))
         , options(callOptions)
+        , wholeBody(shared->answerBudget)
     { }
 
     bool isPoolable() const { return options.idempotency == Idempotency::Idempotent; }
@@ -60,6 +61,8 @@
     unsigned status = 0;
     bool hasBodyByte = false;
     std::size_t bodyBytes = 0;
+    // Of the body that readAll() has returned, as long as the call lives.
+    BufferShare wholeBody;
     bool isPooled = false;
     // The endpoint had closed the pooled connection, or did so while the request was on its way.
     bool isStale = false;
@@ -255,6 +258,12 @@
             co_return body;
         if (valueOf(piece).size() > maxBytes - body.size())
             co_return m_data->fail(CallStage::Body, tooLong(maxBytes));
+        if (!m_data->wholeBody.resize(heldBytes(body.size() + valueOf(piece).size())))
+            co_return m_data->fail(CallStage::Body,
+                                   {ErrorCode::TooLarge,
+                                    "there is no memory for more than "
+                                            + std::to_string(body.size())
+                                            + " bytes of the answer"});
         body += valueOf(piece);
     }
 }
--- a/src/http/endpointcall.h
+++ b/src/http/endpointcall.h
@@ -37,7 +37,8 @@
     boost::asio::awaitable<CallResult<std::string>> readSome();
 
     /// Reads the rest of the body. TooLarge, and the connection closed, when it is longer than the
-    /// maximum.
+    /// maximum or than the client's memory for answers allows. The body counts towards that memory
+    /// until the call is destroyed.
     boost::asio::awaitable<CallResult<std::string>> readAll(std::size_t maxBytes);
 
     /// Closes the connection, so that the endpoint stops working on the request. What send() or
--- a/src/http/endpointclient.cpp
+++ b/src/http/endpointclient.cpp
@@ -49,4 +49,9 @@
     return std::make_shared<EndpointCall>(m_shared, address, std::move(request), options);
 }
 
+BufferShare EndpointClient::makeAnswerShare() const
+{
+    return BufferShare(m_shared->answerBudget);
+}
+
 } // namespace pistachiofall
--- a/src/http/endpointclient.h
+++ b/src/http/endpointclient.h
@@ -34,6 +34,9 @@
                                           std::shared_ptr<const EndpointRequest> request,
                                           const CallOptions &options);
 
+    /// A share of the memory for answers, for what is kept of one besides its call.
+    BufferShare makeAnswerShare() const;
+
 private:
     explicit EndpointClient(std::shared_ptr<detail::ClientShared> shared);
     std::shared_ptr<detail::ClientShared> m_shared;
--- a/src/http/endpointclientsettings.h
+++ b/src/http/endpointclientsettings.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "http/bufferbudget.h"
+
 #include <chrono>
 #include <cstddef>
+#include <memory>
 
 namespace pistachiofall {
 
@@ -16,6 +19,8 @@
     std::chrono::milliseconds maxIdleTime{4000};
     /// How often idle connections are looked through.
     std::chrono::milliseconds sweepInterval{1000};
+    /// The memory for the answers that are held whole; null for no limit.
+    std::shared_ptr<BufferBudget> answerBudget = nullptr;
 };
 
 } // namespace pistachiofall
--- a/src/http/exchangestate.cpp
+++ b/src/http/exchangestate.cpp
@@ -32,6 +32,7 @@
     , m_reader(reader)
     , m_peerAddress(peerAddress)
     , m_writeWindow(m_shared->settings.writeTimeout, m_shared->settings.minProgressBytes)
+    , m_wholeBody(m_shared->settings.bodyBudget)
     , m_isContinueDue(reader.head().expectsContinue)
 { }
 
@@ -50,6 +51,8 @@
             co_return body;
         if (valueOf(piece).size() > maxBytes - body.size())
             co_return tooLarge;
+        if (!m_wholeBody.resize(heldBytes(body.size() + valueOf(piece).size())))
+            co_return Error{ErrorCode::Overloaded, "there is no memory for the body now"};
         body += valueOf(piece);
     }
 }
--- a/src/http/exchangestate.h
+++ b/src/http/exchangestate.h
@@ -52,6 +52,8 @@
     RequestReader &m_reader;
     const std::string &m_peerAddress;
     ProgressWindow m_writeWindow;
+    // Of the body that readBody() has returned, as long as the exchange lives.
+    BufferShare m_wholeBody;
     Answer m_answer = Answer::None;
     bool m_isContinueDue = false;
     bool m_isBodyBroken = false;
--- a/src/http/listenersettings.h
+++ b/src/http/listenersettings.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "http/bufferbudget.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 namespace pistachiofall {
@@ -30,6 +33,9 @@
     std::chrono::milliseconds writeTimeout{10000};
     std::size_t minProgressBytes = 1024;
 
+    /// The memory for the bodies that are held whole; null for no limit.
+    std::shared_ptr<BufferBudget> bodyBudget = nullptr;
+
     /// How long a stopped listener waits for one more request on an idle connection. Closing it at
     /// once would cut a request that is on its way.
     std::chrono::milliseconds stopIdleGrace{1000};
--- a/src/serving/eventsplitter.h
+++ b/src/serving/eventsplitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -31,6 +32,7 @@
 
     /// Whether the buffer holds the start of an incomplete event.
     bool hasPartialEvent() const { return !m_buffer.empty(); }
+    std::size_t bufferedBytes() const { return m_buffer.size(); }
 
 private:
     std::string m_buffer;
--- a/src/serving/itemoutput.cpp
+++ b/src/serving/itemoutput.cpp
@@ -15,6 +15,9 @@
             m_splitter.feed(piece, [&](const StreamEvent &event) { takeEvent(event, now); });
     if (!isRead || !m_isInOrder || (isEnd && m_splitter.hasPartialEvent()))
         return State::Invalid;
+    const std::size_t size = m_progress.output.size() + m_splitter.bufferedBytes();
+    if (size > MaxBytes || !m_progress.outputShare.resize(heldBytes(size)))
+        return State::TooLarge;
     if (isEnd)
         return State::Complete;
     return m_eventProgress.isStalled(now) ? State::Invalid : State::GoesOn;
--- a/src/serving/itemoutput.h
+++ b/src/serving/itemoutput.h
@@ -15,7 +15,18 @@
 class ItemOutput
 {
 public:
-    enum class State { GoesOn, Complete, Invalid };
+    enum class State {
+        GoesOn,
+        Complete,
+        Invalid,
+        /// The output of all runs together is larger than an item's may be, or than there is memory
+        /// for. The item can not go on from here.
+        TooLarge,
+    };
+
+    /// The largest output of an item in bytes: twice the size of an object of the store, which
+    /// could not hold a longer one.
+    static constexpr std::size_t MaxBytes = std::size_t{2} << 20U;
 
     /// The first event must be complete within the time after the begin, each other one within the
     /// gap.
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -27,8 +27,8 @@
 constexpr milliseconds EventTimeout{1500};
 // The deadline sent to the endpoint with each item; far longer than any run.
 constexpr milliseconds ItemTimeout{60000};
-// Twice the size of an object of the store, which could not hold a longer result.
-constexpr std::size_t MaxItemResponseBytes = std::size_t{2} << 20U;
+// A longer run is broken off, and goes on after its last event.
+constexpr std::size_t MaxItemResponseBytes = ItemOutput::MaxBytes;
 constexpr milliseconds RetryDelay{200};
 // The online request that took the slot of a preempted item is not the last one of its burst.
 constexpr milliseconds DelayAfterPreemption{200};
@@ -94,9 +94,12 @@
     const auto age = m_dependencies.clock.wallNow() - record.submitted;
     auto job = std::make_shared<OwnedJob>();
     job->progress.resize(items.size());
-    for (std::size_t index = 0; index < items.size(); ++index)
-        job->progress[index].sharedParts =
+    for (std::size_t index = 0; index < items.size(); ++index) {
+        ItemProgress &progress = job->progress[index];
+        progress.sharedParts =
                 m_dependencies.protocol.decodeMetadata(items[index].headers).sharedParts;
+        progress.outputShare = m_dependencies.client->makeAnswerShare();
+    }
     for (const JobResult &result : record.results) {
         for (std::size_t index = 0; index < items.size(); ++index) {
             if (items[index].id == result.itemId)
@@ -152,11 +155,12 @@
 }
 
 // Why an item can not run, whether or not there is a slot; empty if it can.
-std::string_view JobRunner::reasonToGiveUp(const OwnedJob &job, const ItemProgress &progress) const
+std::string_view JobRunner::reasonToGiveUp(const OwnedJob &job, const ItemProgress &progress,
+                                           WallTime now) const
 {
     if (progress.failures.isUnprocessable)
         return "can_not_be_done";
-    if (m_dependencies.clock.wallNow() > job.record.submitted + job.record.retention)
+    if (now > job.record.submitted + job.record.retention)
         return "retention";
     if (progress.service.empty())
         return "no_route";
@@ -168,18 +172,19 @@
 // Finishes the pending items that can not run as dead.
 void JobRunner::giveUpItems()
 {
+    const WallTime now = m_dependencies.clock.wallNow();
     std::vector<std::pair<JobPtr, std::size_t>> givenUp;
     for (const auto &[id, job] : m_jobs) {
         routeItems(*job);
         for (std::size_t index = 0; index < job->items.size(); ++index) {
             const ItemProgress &progress = job->progress[index];
             if (progress.state == ItemProgress::State::Pending
-                && !reasonToGiveUp(*job, progress).empty())
+                && !reasonToGiveUp(*job, progress, now).empty())
                 givenUp.emplace_back(job, index);
         }
     }
     for (const auto &[job, index] : givenUp)
-        finishAsDead(job, index, reasonToGiveUp(*job, job->progress[index]));
+        finishAsDead(job, index, reasonToGiveUp(*job, job->progress[index], now));
 }
 
 // An item that has failed waits until the store holds its failures: were this instance lost, the
@@ -360,8 +365,10 @@
             progress.endedEndpoints = 0;
             m_dependencies.promptGuard.answered(progress.sharedParts);
         }
-        if (state != ItemOutput::State::Invalid)
+        if (state == ItemOutput::State::GoesOn || state == ItemOutput::State::Complete)
             continue;
+        if (state == ItemOutput::State::TooLarge)
+            progress.discardOutput();
         const bool hasEnded = !isOk(piece) && endsConnection(failureOf(piece))
                 && output.eventCount() < PromptGuard::AnsweredEvents;
         recordInterruption(job, index, endpoint, hasEnded,
@@ -435,7 +442,7 @@
     if (job->isReleased)
         return;
     m_writer.requestWrite(job);
-    const std::string_view reason = reasonToGiveUp(*job, progress);
+    const std::string_view reason = reasonToGiveUp(*job, progress, m_dependencies.clock.wallNow());
     if (!reason.empty())
         finishAsDead(job, index, reason);
 }
@@ -443,7 +450,8 @@
 void JobRunner::finishItem(const JobPtr &job, std::size_t index, JobResult result)
 {
     job->progress[index].state = ItemProgress::State::Finished;
-    job->progress[index].output.clear();
+    job->progress[index].output = std::string();
+    job->progress[index].outputShare.resize(0);
     if (job->isReleased)
         return;
     m_dependencies.metrics
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -8,6 +8,7 @@
 #include "serving/onlineservice.h"
 #include "serving/ownedjob.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -83,8 +84,10 @@
 
 private:
     using JobPtr = std::shared_ptr<OwnedJob>;
+    using WallTime = std::chrono::system_clock::time_point;
     void routeItems(OwnedJob &job) const;
-    std::string_view reasonToGiveUp(const OwnedJob &job, const ItemProgress &progress) const;
+    std::string_view reasonToGiveUp(const OwnedJob &job, const ItemProgress &progress,
+                                    WallTime now) const;
     void giveUpItems();
     ItemQueues pendingItems();
     ItemRank rankOf(const OwnedJob &job, const ItemProgress &progress) const;
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -392,6 +392,7 @@
     EventSplitter splitter;
     EventProgress progress(m_dependencies.clock.now(), attempt.firstEventTimeout,
                            attempt.eventTimeout);
+    BufferShare partialEvent = m_dependencies.client->makeAnswerShare();
     std::string ready;
     std::optional<std::uint64_t> lastId = context.lastEventId;
     bool isInOrder = true;
@@ -416,7 +417,8 @@
         }
         const bool isEnd = valueOf(piece).empty();
         if (!splitter.feed(valueOf(piece), onEvent) || !isInOrder
-            || (isEnd && splitter.hasPartialEvent())) {
+            || (isEnd && splitter.hasPartialEvent())
+            || !partialEvent.resize(heldBytes(splitter.bufferedBytes()))) {
             noteFailure(context, attempt, "the events are malformed, too large or out of order",
                         true);
             co_return;
--- a/src/serving/ownedjob.cpp
+++ b/src/serving/ownedjob.cpp
@@ -7,6 +7,14 @@
 
 namespace pistachiofall {
 
+void ItemProgress::discardOutput()
+{
+    output = std::string();
+    hasOutput = false;
+    lastEventId.reset();
+    outputShare.resize(0);
+}
+
 std::map<std::string, ItemFailures>
 OwnedJob::unfinishedFailures(const std::vector<JobResult> &results) const
 {
--- a/src/serving/ownedjob.h
+++ b/src/serving/ownedjob.h
@@ -4,6 +4,7 @@
 #include "fleet/promptpart.h"
 #include "fleet/readlease.h"
 #include "fleet/servingconfig.h"
+#include "http/bufferbudget.h"
 #include "http/endpointcall.h"
 #include "serving/jobitem.h"
 #include "serving/jobrecord.h"
@@ -31,6 +32,8 @@
     std::string output;
     bool hasOutput = false;
     std::optional<std::uint64_t> lastEventId;
+    /// Of the memory for answers, for the output.
+    BufferShare outputShare;
     ItemFailures failures;
     /// The number of failures after which the item is given up, by its route.
     int attempts = 0;
@@ -46,6 +49,9 @@
     SteadyTime notBefore{};
     /// The number of runs in a row during which the endpoint ended before it answered.
     int endedEndpoints = 0;
+    /// Forgets the output, so that the next run begins anew.
+    void discardOutput();
+
     /// The parts of the item's prompt that other requests may share.
     PromptParts sharedParts;
     /// The service that the job's routing sends the item to; empty without a route.
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -54,10 +54,22 @@
 };
 
 constexpr milliseconds TickInterval{50};
+// The parts of the memory for answers and for bodies of requests that are held whole. A body is
+// copied for the endpoint.
+constexpr std::size_t AnswerMemoryDivisor = 4;
+constexpr std::size_t BodyMemoryDivisor = 8;
 // A peer that has been up for the quota window plus this margin has seen a whole window of
 // requests.
 constexpr milliseconds QuotaMemoryMargin{500};
 
+EndpointClientSettings clientSettings(const FleetSettings &settings)
+{
+    EndpointClientSettings client;
+    client.answerBudget =
+            std::make_shared<BufferBudget>(settings.memoryBytes / AnswerMemoryDivisor);
+    return client;
+}
+
 std::uint64_t randomIncarnation()
 {
     std::random_device random;
@@ -130,6 +142,7 @@
     FleetPeers peers;
     ConfigHolder config;
     const std::shared_ptr<EndpointClient> client;
+    const std::shared_ptr<BufferBudget> bodyBudget;
     ConfigFetcher configFetcher;
     JobOwners jobOwners;
     std::unique_ptr<OnlineService> online;
@@ -160,7 +173,8 @@
     , peers(context.get_executor(), clock, log, metrics, peerFromSettings(settings),
             randomIncarnation())
     , config(*protocol, log, [this](const ServingConfig::Ptr &newest) { configChanged(newest); })
-    , client(EndpointClient::create(context.get_executor(), {}, metrics))
+    , client(EndpointClient::create(context.get_executor(), clientSettings(settings), metrics))
+    , bodyBudget(std::make_shared<BufferBudget>(settings.memoryBytes / BodyMemoryDivisor))
     , configFetcher(context.get_executor(), peers, config)
     , jobOwners(context.get_executor(), log, peers,
                 {[this] { return storeAge(); }, [this] { return isStopping; }})
@@ -290,6 +304,7 @@
             return Done{};
         ListenerSettings listenerSettings;
         listenerSettings.name = name;
+        listenerSettings.bodyBudget = bodyBudget;
         auto result = HttpListener::create(executor, *address, listenerSettings, metrics,
                                            std::move(handler));
         if (!isOk(result))
--- a/src/settings/fleetsettings.h
+++ b/src/settings/fleetsettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/socketaddress.h"
+#include "base/systemmemory.h"
 #include "store/storesettings.h"
 
 #include <chrono>
@@ -30,6 +31,8 @@
     /// The maximum size of an object that the store accepts.
     static constexpr std::size_t DefaultMaxObjectBytes = std::size_t{1} << 20U;
     std::size_t maxObjectBytes = DefaultMaxObjectBytes;
+    /// The memory that the process may use, in bytes.
+    std::size_t memoryBytes = systemMemoryBytes();
     /// The sliding window over which the limits of organisations are enforced.
     std::chrono::milliseconds quotaWindow{5000};
     /// The number of requests above a limit that operators tolerate in one window.
--- a/src/settings/loadfleetsettings.cpp
+++ b/src/settings/loadfleetsettings.cpp
@@ -1,5 +1,6 @@
 #include "settings/loadfleetsettings.h"
 
+#include "base/systemmemory.h"
 #include "settings/sectionreader.h"
 #include "settings/settingserrors.h"
 #include "settings/tomlfile.h"
@@ -20,6 +21,9 @@
 constexpr std::int64_t MaxMilliseconds = 600'000;
 // The object of a job must have room for one result and the description of the job.
 constexpr std::int64_t MinObjectBytes = 4096;
+constexpr std::int64_t MinMemoryMegabytes = 32;
+constexpr std::int64_t MaxMemoryMegabytes = std::int64_t{1} << 24U;
+constexpr unsigned MegabyteShift = 20;
 constexpr std::int64_t MaxObjectBytes = std::int64_t{1} << 30U;
 
 void checkSections(const toml::table &document, SettingsErrors &errors)
@@ -55,6 +59,8 @@
     SectionReader instance(document, "instance", errors);
     std::string name = instance.requiredName("name");
     std::string failureDomain = instance.requiredName("failure_domain");
+    std::size_t memoryMegabytes = systemMemoryBytes() >> MegabyteShift;
+    instance.integer("memory_mb", MinMemoryMegabytes, MaxMemoryMegabytes, memoryMegabytes);
     instance.rejectUnknownKeys();
     SectionReader listen(document, "listen", errors);
     const auto callers = listen.address("callers", MinPort);
@@ -74,6 +80,7 @@
     store.address = storeAddress->toString();
     FleetSettings settings{
             std::move(name), std::move(failureDomain), callers, ready, metrics, *peers, {}, store};
+    settings.memoryBytes = memoryMegabytes << MegabyteShift;
     settings.maxObjectBytes = maxObjectBytes;
     settings.seeds = readSeeds(document, errors);
     toml::table fleetTable;
--- a/tests/system/faultyendpointtest.cpp
+++ b/tests/system/faultyendpointtest.cpp
@@ -3,8 +3,6 @@
 #include "system/waituntil.h"
 
 #include <cstdio>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -21,18 +19,6 @@
 const std::vector<std::string> endlessModes{"endless-head", "endless-interim", "endless-events",
                                             "endless-bytes"};
 
-// The most memory that the process had so far.
-int peakMegabytes(ChildProcess &process)
-{
-    std::ifstream file("/proc/" + std::to_string(process.pid()) + "/status");
-    std::string line;
-    while (std::getline(file, line)) {
-        if (line.starts_with("VmHWM:"))
-            return std::atoi(line.c_str() + 6) / 1024;
-    }
-    return -1;
-}
-
 void startOne(SpaceFleet &fleet, const std::vector<std::string> &endpoints)
 {
     for (const std::string &id : endpoints)
@@ -142,8 +128,8 @@
             CHECK(reply.status == 0 || !reply.contains("xxxx"));
         }
     }
-    std::printf("peak %d MB\n", peakMegabytes(fleet.instance(0)));
-    CHECK(peakMegabytes(fleet.instance(0)) < MaxMegabytes);
+    std::printf("peak %d MB\n", fleet.instance(0).peakMegabytes());
+    CHECK(fleet.instance(0).peakMegabytes() < MaxMegabytes);
 }
 
 // Guards against a batch item that is never finished and takes the memory of its owner.
@@ -163,8 +149,8 @@
             return reply.contains("\"complete\"");
         }));
     }
-    std::printf("peak %d MB\n", peakMegabytes(fleet.instance(0)));
-    CHECK(peakMegabytes(fleet.instance(0)) < MaxMegabytes);
+    std::printf("peak %d MB\n", fleet.instance(0).peakMegabytes());
+    CHECK(fleet.instance(0).peakMegabytes() < MaxMegabytes);
 }
 
 // Guards against a success with an empty or short body for an answer whose head was cut off.
