--- a/src/serving/fleetpeers.cpp
+++ b/src/serving/fleetpeers.cpp
@@ -72,6 +72,8 @@
     FleetPeer peer;
     asio::steady_timer timer;
     std::uint64_t incarnation = 0;
+    /// That of the process before it, whose last reports may arrive after the first of the new one.
+    std::uint64_t previousIncarnation = 0;
     std::uint64_t sequence = 0;
     std::uint64_t sentUsageVersion = 0;
     SteadyTime lastHeard{};
@@ -287,7 +289,11 @@
     }
     if (!member)
         return reply;
+    if (report.incarnation == member->previousIncarnation)
+        return reply;
     const bool hasRestarted = member->incarnation != 0 && member->incarnation != report.incarnation;
+    if (hasRestarted)
+        member->previousIncarnation = member->incarnation;
     if (member->incarnation == report.incarnation && report.sequence < member->sequence)
         return reply;
     member->incarnation = report.incarnation;
--- a/src/serving/fleetpeers.h
+++ b/src/serving/fleetpeers.h
@@ -78,7 +78,7 @@
     bool isLeaving() const { return m_isLeaving; }
 
     /// Processes the report of a peer and returns the reply. A report older than one already
-    /// processed is ignored.
+    /// processed is ignored, and one of a process after which another has started.
     wire::FleetReportReplyT handleReport(const wire::FleetReportT &report);
 
     const FleetPeer &self() const { return m_self; }
