Bound answers and bodies of "serve", and an item's output over all its runs in a test

The budget of the report of bytes without an end for the other program, by the machine's memory, as its settings name none. ItemOutput OutputOfAllRunsIsBounded: the output of an item that its endpoints never end, and the share of the budget.

--- a/src/node/instance.cpp
+++ b/src/node/instance.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/stablehash.h"
 #include "base/systemclock.h"
+#include "base/systemmemory.h"
 #include "batch/jobcoordinator.h"
 #include "http/endpointclient.h"
 #include "http/httplistener.h"
@@ -61,6 +62,17 @@
 // The time between two checkpoints of the whole fleet. It leaves a third of the 300 writes/s that
 // the store is counted on for everything else.
 constexpr milliseconds CheckpointSpacing{5};
+// The parts of the memory for answers and for bodies of requests that are held whole.
+constexpr std::size_t AnswerMemoryDivisor = 4;
+constexpr std::size_t BodyMemoryDivisor = 8;
+
+EndpointClientSettings clientSettings()
+{
+    EndpointClientSettings settings;
+    settings.answerBudget =
+            std::make_shared<BufferBudget>(systemMemoryBytes() / AnswerMemoryDivisor);
+    return settings;
+}
 
 InstanceIdentity identityFrom(const Settings &settings)
 {
@@ -170,7 +182,7 @@
     , limitClient(limitPolicy(settings.policy.limits), clock, metrics, coordination, peers)
     , authenticator(clock, metrics, coordination)
     , forwarder(clock, metrics, settings.deadlines, coordination, slotClient, held, selector,
-                EndpointClient::create(context.get_executor(), {}, metrics))
+                EndpointClient::create(context.get_executor(), clientSettings(), metrics))
     , online(clock, metrics, settings, coordination, authenticator, limitClient, forwarder,
              requests)
     , items(coordination, forwarder)
@@ -215,6 +227,8 @@
     ListenerSettings callerSettings;
     callerSettings.maxHeaderBytes = static_cast<std::uint32_t>(settings.limits.maxHeaderBytes);
     callerSettings.maxConnections = settings.limits.maxConnections;
+    callerSettings.bodyBudget =
+            std::make_shared<BufferBudget>(systemMemoryBytes() / BodyMemoryDivisor);
     auto callerResult = HttpListener::create(
             executor, settings.listen.callers, callerSettings, metrics,
             [this](ServerExchange &exchange) { return callers.handle(exchange); });
--- a/tests/serving/itemoutputtest.cpp
+++ b/tests/serving/itemoutputtest.cpp
@@ -50,3 +50,29 @@
     CHECK(output.take("i", now + milliseconds{5300}) == State::GoesOn);
     CHECK(output.take("d", now + milliseconds{5500}) == State::Invalid);
 }
+
+// Guards against an item whose output grows with each run, at endpoints that send events without an
+// end, and against the output of many items that together take the memory of an instance.
+TEST(ItemOutput, OutputOfAllRunsIsBounded)
+{
+    const std::string data(300'000, 'x');
+    std::uint64_t id = 0;
+    State state = State::GoesOn;
+    for (int run = 0; run < 4 && state == State::GoesOn; ++run) {
+        ItemOutput output = start();
+        for (int event = 0; event < 3 && state == State::GoesOn; ++event)
+            state = output.take("id: " + std::to_string(++id) + "\ndata: " + data + "\n\n", now);
+    }
+    CHECK(state == State::TooLarge);
+    UNSIGNED_LONGS_EQUAL(7, id);
+    progress.discardOutput();
+    CHECK(progress.output.empty());
+    CHECK(!progress.lastEventId.has_value());
+    const auto budget = std::make_shared<BufferBudget>(500'000);
+    progress.outputShare = BufferShare(budget);
+    ItemOutput output = start();
+    CHECK(output.take("id: 1\ndata: " + data.substr(0, 200'000) + "\n\n", now) == State::GoesOn);
+    CHECK(output.take("id: 2\ndata: " + data + "\n\n", now) == State::TooLarge);
+    progress.discardOutput();
+    UNSIGNED_LONGS_EQUAL(0, budget->used());
+}
