Write failures at most every 100 ms for a job, and text of tests by streams

250 ms would leave an answer of 422 that follows another failure of its job unwritten for so long; a lost owner takes it along. system.itemfailures passes.

--- a/src/serving/jobwriter.cpp
+++ b/src/serving/jobwriter.cpp
@@ -24,7 +24,7 @@
 constexpr int WriteIntervalDivisor = 6;
 // The shortest interval between two writes for the failures of items, so that a job whose items all
 // fail does not take the store's writes from the others.
-constexpr milliseconds FailureWriteInterval{250};
+constexpr milliseconds FailureWriteInterval{100};
 constexpr milliseconds WriteRetryDelay{100};
 constexpr milliseconds MinWait{10};
 constexpr milliseconds MaxWait{100};
--- a/tests/system/endlessanswerstest.cpp
+++ b/tests/system/endlessanswerstest.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstdio>
+#include <sstream>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -20,12 +21,11 @@
 
 std::string job(const std::string &prefix)
 {
-    std::string items;
+    std::ostringstream items;
     for (int item = 0; item < Items; ++item)
-        items += (item == 0 ? "" : ",") + std::string(R"({"id":")") + prefix + std::to_string(item)
-                + R"(","path":"/)" + prefix
-                + R"(/stream/1","headers":{},"body":"q83v","tokens":9})";
-    return R"({"items":[)" + items + "]}";
+        items << (item == 0 ? "" : ",") << R"({"id":")" << prefix << item << R"(","path":"/)"
+              << prefix << R"(/stream/1","headers":{},"body":"q83v","tokens":9})";
+    return R"({"items":[)" + items.str() + "]}";
 }
 
 } // namespace
--- a/tests/system/itemservicestest.cpp
+++ b/tests/system/itemservicestest.cpp
@@ -1,6 +1,8 @@
 #include "system/spacefleet.h"
 #include "system/waituntil.h"
 
+#include <sstream>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace pistachiofall::tests;
@@ -17,12 +19,12 @@
 
 std::string items(const std::string &job, const std::string &prefix, int count)
 {
-    std::string text;
+    std::ostringstream text;
     for (int index = 0; index < count; ++index)
-        text += (index == 0 ? "" : ",") + std::string(R"({"id":")") + job + "-" + prefix + "-"
-                + std::to_string(index) + R"(","path":"/)" + prefix
-                + R"(/stream/1","headers":{"Model":"m"},"body":"q83v","tokens":9})";
-    return text;
+        text << (index == 0 ? "" : ",") << R"({"id":")" << job << "-" << prefix << "-" << index
+             << R"(","path":"/)" << prefix
+             << R"(/stream/1","headers":{"Model":"m"},"body":"q83v","tokens":9})";
+    return text.str();
 }
 
 // Two instances, two services with one route for batch jobs each. The endpoints of "chat" are
