--- a/src/fleet/endpointpool.cpp
+++ b/src/fleet/endpointpool.cpp
@@ -1,9 +1,6 @@
 #include "fleet/endpointpool.h"
 
-#include "base/stablehash.h"
-
 #include <algorithm>
-#include <cmath>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -15,22 +12,8 @@
 // An endpoint of a failure domain that returns from an evacuation is assumed to be cold for this
 // time, because it may not have reported so yet.
 constexpr std::chrono::milliseconds AssumedColdPeriod{3000};
-// The network path to the endpoints of another failure domain is longer.
-constexpr double OtherDomainWeight = 0.25;
-constexpr double ColdWeight = 0.1;
 // Two report intervals of a peer in the same failure domain.
 constexpr std::chrono::milliseconds BatchDelayAfterFull{100};
-// A batch item in another failure domain is preempted late when an online request needs its slot.
-constexpr double OtherDomainBatchWeight = 0.05;
-
-// Weighted rendezvous hashing: the candidate with the lowest value is chosen, each in proportion to
-// its weight, and equal keys choose the same candidate.
-double weightedRank(std::string_view key, std::string_view candidate, double weight)
-{
-    constexpr double HashRange = 18446744073709551616.0;
-    const double point = (static_cast<double>(rendezvousRank(key, candidate)) + 1) / HashRange;
-    return -std::log(point) / weight;
-}
 
 } // namespace
 
@@ -76,13 +59,18 @@
         isNew = true;
     }
     const auto position =
-            m_entries.try_emplace(endpoint.id, Entry{endpoint, {}, {}, {}, {}, {}, {}, {}, false})
+            m_entries
+                    .try_emplace(endpoint.id,
+                                 Entry{endpoint, {}, {}, {}, {}, {}, {}, {}, false, {}})
                     .first;
     Entry &entry = position->second;
     entry.isLeaving = m_leaving.contains({endpoint.id, endpoint.startedAt});
     const bool isChanged = isNew || entry.endpoint.isDraining != endpoint.isDraining
             || entry.endpoint.address != endpoint.address;
+    const bool isOtherVersion = isChanged || entry.endpoint.version != endpoint.version;
     entry.endpoint = endpoint;
+    if (isOtherVersion)
+        assignVersionRoles(endpoint.service, now);
     if (isNew) {
         for (const auto &[peer, usages] : m_peerUsage) {
             const auto usage = usages.find(endpoint.id);
@@ -214,12 +202,94 @@
         entry.setPeerUsage(peer, {});
 }
 
-bool EndpointPool::isServing(const Entry &entry) const
+bool EndpointPool::isInService(const Entry &entry) const
 {
     return !entry.endpoint.isDraining && !entry.isLeaving
             && !m_evacuated.contains(entry.endpoint.failureDomain);
 }
 
+bool EndpointPool::isServing(const Entry &entry) const
+{
+    return isInService(entry) && entry.versionRole != VersionRole::Excluded;
+}
+
+// Canaries take a part of the requests only, so the others can not count on them.
+bool EndpointPool::isCounted(const Entry &entry, const std::string &service) const
+{
+    return entry.endpoint.service == service && isServing(entry)
+            && entry.versionRole != VersionRole::Canary;
+}
+
+void EndpointPool::enableRollouts(std::chrono::milliseconds newVersionHold)
+{
+    m_versions.enable(newVersionHold);
+}
+
+void EndpointPool::setVersionSplits(const std::map<std::string, VersionSplit> &splits,
+                                    SteadyTime now)
+{
+    m_versions.setSplits(splits);
+    assignAllVersionRoles(now);
+}
+
+void EndpointPool::assignVersionRoles(const std::string &service, SteadyTime now)
+{
+    if (!m_versions.isEnabled())
+        return;
+    std::vector<VersionRoles::Endpoint> endpoints;
+    std::vector<Entry *> entries;
+    for (auto &[id, entry] : m_entries) {
+        if (entry.endpoint.service != service || entry.endpoint.isDraining)
+            continue;
+        endpoints.push_back({entry.endpoint.id, entry.endpoint.version});
+        entries.push_back(&entry);
+    }
+    const std::vector<VersionRole> roles = m_versions.assign(service, endpoints, now);
+    for (std::size_t index = 0; index < entries.size(); ++index)
+        entries[index]->versionRole = roles[index];
+}
+
+void EndpointPool::assignAllVersionRoles(SteadyTime now)
+{
+    std::set<std::string> services;
+    for (const auto &[id, entry] : m_entries)
+        services.insert(entry.endpoint.service);
+    for (const std::string &service : services)
+        assignVersionRoles(service, now);
+}
+
+void EndpointPool::removeExpired(SteadyTime now)
+{
+    m_leaving.removeExpired(now);
+    if (m_versions.isEnabled())
+        assignAllVersionRoles(now);
+}
+
+VersionCounts EndpointPool::countVersion(const std::string &service, const std::string &version,
+                                         SteadyTime now) const
+{
+    VersionCounts counts;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.endpoint.service != service || entry.endpoint.version != version
+            || !isInService(entry))
+            continue;
+        ++counts.endpoints;
+        counts.warm += isCold(entry, now) ? 0 : 1;
+    }
+    return counts;
+}
+
+int EndpointPool::requestsAtOtherVersions(const std::string &service,
+                                          const std::string &version) const
+{
+    int requests = 0;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.endpoint.service == service && entry.endpoint.version != version)
+            requests += entry.total().total();
+    }
+    return requests;
+}
+
 bool EndpointPool::isUsable(const Entry &entry, const PlacementRequest &request,
                             SteadyTime now) const
 {
@@ -236,89 +306,87 @@
     return ColdStartLimiter(now, rate, endpoint.id, m_instance, m_instances).isAllowed(now);
 }
 
+std::vector<VersionRole> EndpointPool::versionPreferences(const PlacementRequest &request) const
+{
+    return m_versions.preferences(request.service, request.key, !request.excluded.empty());
+}
+
+EndpointCandidate EndpointPool::candidate(const Entry &entry, const PlacementRequest &request,
+                                          SteadyTime now) const
+{
+    return {entry.endpoint.id, entry.endpoint.slots, entry.total(),
+            entry.endpoint.failureDomain != request.failureDomain, isCold(entry, now)};
+}
+
 std::optional<Placement> EndpointPool::placeOnline(const PlacementRequest &request,
                                                    SteadyTime now) const
 {
-    // Endpoints with a free slot come first. Among them, the weight is the square of the number of
-    // free slots: an engine is nearly as fast with many requests as with few, and instances whose
-    // reports are equally old must not all choose the endpoint with the most free slots.
-    using Score = std::tuple<bool, double>;
+    for (const VersionRole role : versionPreferences(request)) {
+        bool isFull = false;
+        if (const Entry *found = findOnline(request, role, now, isFull))
+            return Placement{found->endpoint, isFull};
+    }
+    return std::nullopt;
+}
+
+const EndpointPool::Entry *EndpointPool::findOnline(const PlacementRequest &request,
+                                                    VersionRole role, SteadyTime now,
+                                                    bool &isFull) const
+{
     const Entry *best = nullptr;
-    Score bestScore;
+    EndpointChoice choice(request.key, m_usageAge);
     for (const auto &[id, entry] : m_entries) {
-        if (!isUsable(entry, request, now))
-            continue;
-        const EndpointUsage usage = entry.total();
-        const bool isFull = usage.total() >= entry.endpoint.slots;
-        if (isFull && (usage.batch == 0 || usage.online >= entry.endpoint.slots))
+        if (entry.versionRole != role || !isUsable(entry, request, now))
             continue;
-        const int freeSlots = entry.endpoint.slots - (isFull ? usage.online : usage.total());
-        double weight = static_cast<double>(freeSlots) * freeSlots;
-        if (entry.endpoint.failureDomain != request.failureDomain)
-            weight *= otherDomainWeight();
-        if (isCold(entry, now))
-            weight *= ColdWeight;
-        const Score score{isFull, weightedRank(request.key, id, weight)};
-        if (best == nullptr || score < bestScore) {
+        if (choice.offerOnline(candidate(entry, request, now)))
             best = &entry;
-            bestScore = score;
-        }
     }
-    if (best == nullptr)
-        return std::nullopt;
-    return Placement{best->endpoint, std::get<0>(bestScore)};
-}
-
-// The longer the usage of an endpoint by others stays unknown, the more requests of instances that
-// do not know of each other meet there.
-double EndpointPool::otherDomainWeight() const
-{
-    if (m_usageAge.otherDomain <= m_usageAge.sameDomain)
-        return OtherDomainWeight;
-    const std::chrono::duration<double> sameDomain = m_usageAge.sameDomain;
-    return OtherDomainWeight * (sameDomain / m_usageAge.otherDomain);
+    isFull = choice.isBestFull();
+    return best;
 }
 
-// The weight of an endpoint for a batch item; 0 if it has no slot for one.
-double EndpointPool::batchWeight(const Entry &entry, const PlacementRequest &request,
-                                 const FreeSlotMargin &margin, SteadyTime now) const
+// Whether batch items may start at the endpoint at present, apart from the free slots there.
+bool EndpointPool::mayStartBatch(const Entry &entry, const PlacementRequest &request,
+                                 SteadyTime now) const
 {
-    const bool isOtherDomain = entry.endpoint.failureDomain != request.failureDomain;
-    const int slots = entry.endpoint.slots;
-    const int wanted = isOtherDomain ? margin.otherDomain : margin.sameDomain;
-    const int left = std::min(wanted + request.extraMargin, slots - 1);
-    const int available = slots - entry.total().total() - left;
-    if (available <= 0 || now - entry.lastFull < BatchDelayAfterFull
-        || !m_batchTurns.hasTurn(entry.endpoint.id, request.service, !isOtherDomain,
-                                 request.batchTurn))
-        return 0;
-    double weight = static_cast<double>(available) * available;
-    if (isOtherDomain)
-        weight *= OtherDomainBatchWeight;
-    return isCold(entry, now) ? weight * ColdWeight : weight;
+    const bool isSameDomain = entry.endpoint.failureDomain == request.failureDomain;
+    return now - entry.lastFull >= BatchDelayAfterFull
+            && m_batchTurns.hasTurn(entry.endpoint.id, request.service, isSameDomain,
+                                    request.batchTurn)
+            && isUsable(entry, request, now);
 }
 
 std::optional<Placement> EndpointPool::placeBatch(const PlacementRequest &request,
                                                   const FreeSlotMargin &margin,
                                                   SteadyTime now) const
+{
+    for (const VersionRole role : versionPreferences(request)) {
+        if (const Entry *found = findBatch(request, margin, role, now))
+            return Placement{found->endpoint, false};
+    }
+    return std::nullopt;
+}
+
+const EndpointPool::Entry *EndpointPool::findBatch(const PlacementRequest &request,
+                                                   const FreeSlotMargin &margin, VersionRole role,
+                                                   SteadyTime now) const
 {
     const Entry *best = nullptr;
-    double bestRank = 0;
+    EndpointChoice choice(request.key, m_usageAge);
     for (const auto &[id, entry] : m_entries) {
-        const double weight = batchWeight(entry, request, margin, now);
-        if (weight <= 0 || !isUsable(entry, request, now))
+        if (entry.versionRole != role)
+            continue;
+        const EndpointCandidate offered = candidate(entry, request, now);
+        const int wanted = offered.isOtherDomain ? margin.otherDomain : margin.sameDomain;
+        const int left = std::min(wanted + request.extraMargin, offered.slots - 1);
+        if (offered.slots - offered.usage.total() <= left || !mayStartBatch(entry, request, now))
             continue;
         if (id == request.previousEndpoint)
-            return Placement{entry.endpoint, false};
-        const double rank = weightedRank(request.key, id, weight);
-        if (best == nullptr || rank < bestRank) {
+            return &entry;
+        if (choice.offerBatch(offered, left))
             best = &entry;
-            bestRank = rank;
-        }
     }
-    if (best == nullptr)
-        return std::nullopt;
-    return Placement{best->endpoint, false};
+    return best;
 }
 
 int EndpointPool::batchItemsToPreempt(const std::string &id) const
@@ -359,7 +427,7 @@
 {
     int slots = 0;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.endpoint.service == service && isServing(entry) && entry.health.isUsable(now, 0))
+        if (isCounted(entry, service) && entry.health.isUsable(now, 0))
             slots += entry.endpoint.slots;
     }
     return slots;
@@ -369,7 +437,7 @@
 {
     int freeSlots = 0;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.endpoint.service == service && isServing(entry) && entry.health.isUsable(now, 0))
+        if (isCounted(entry, service) && entry.health.isUsable(now, 0))
             freeSlots += std::max(0, entry.endpoint.slots - entry.total().online);
     }
     return freeSlots;
@@ -396,8 +464,7 @@
 {
     return static_cast<int>(
             std::count_if(m_entries.begin(), m_entries.end(), [&](const auto &each) {
-                return each.second.endpoint.service == service && isServing(each.second)
-                        && !excluded.contains(each.first);
+                return isCounted(each.second, service) && !excluded.contains(each.first);
             }));
 }
 
--- a/src/fleet/endpointpool.h
+++ b/src/fleet/endpointpool.h
@@ -4,12 +4,14 @@
 #include "coord/workclass.h"
 #include "fleet/batchturns.h"
 #include "fleet/coldstartlimiter.h"
+#include "fleet/endpointchoice.h"
 #include "fleet/endpointhealth.h"
 #include "fleet/endpointusage.h"
 #include "fleet/fleetendpoint.h"
 #include "fleet/leavingendpoints.h"
 #include "fleet/placement.h"
 #include "fleet/servingconfig.h"
+#include "fleet/versionroles.h"
 
 #include <map>
 #include <optional>
@@ -19,6 +21,14 @@
 
 namespace pistachiofall {
 
+/// The endpoints of one version of a service that accept requests, and those of them that are not
+/// cold.
+struct VersionCounts
+{
+    int endpoints = 0;
+    int warm = 0;
+};
+
 /// Tracks the endpoints of the fleet and how this instance and its peers use them, and chooses an
 /// endpoint for each request. No instance owns an endpoint: each one sends independently, based on
 /// its own usage and the last report of each peer, so that no endpoint becomes unreachable when an
@@ -51,6 +61,17 @@
     void setUsageAge(const UsageAge &age) { m_usageAge = age; }
     const UsageAge &usageAge() const { return m_usageAge; }
 
+    /// Rollouts of versions may come; see VersionRoles::enable().
+    void enableRollouts(std::chrono::milliseconds newVersionHold);
+    /// Sets which versions the services' requests go to, by service.
+    void setVersionSplits(const std::map<std::string, VersionSplit> &splits, SteadyTime now);
+    bool knowsVersionSplits() const { return m_versions.knowsSplits(); }
+    /// Counts the endpoints of a version of the service.
+    VersionCounts countVersion(const std::string &service, const std::string &version,
+                               SteadyTime now) const;
+    /// The number of requests that run at endpoints of other versions of the service.
+    int requestsAtOtherVersions(const std::string &service, const std::string &version) const;
+
     void requestStarted(const std::string &id, WorkClass workClass, SteadyTime now);
     void requestFinished(const std::string &id, WorkClass workClass, SteadyTime now);
     void recordFailure(const std::string &id, SteadyTime now);
@@ -97,8 +118,9 @@
     {
         return m_leaving.recent(now);
     }
-    /// Forgets old announcements. To be called periodically.
-    void removeExpired(SteadyTime now) { m_leaving.removeExpired(now); }
+    /// Forgets old announcements, and lets versions serve whose time of waiting for an order is
+    /// over. To be called periodically.
+    void removeExpired(SteadyTime now);
 
     /// Whether the endpoint is in the pool, of that service and accepts requests.
     bool accepts(const std::string &id, const std::string &service) const;
@@ -121,20 +143,30 @@
         SteadyTime lastFull{};
         /// The endpoint has announced that it leaves.
         bool isLeaving = false;
+        VersionRole versionRole = VersionRole::Unrestricted;
 
         void setPeerUsage(const std::string &peer, const EndpointUsage &usage);
         EndpointUsage total() const;
         bool isFull() const;
     };
 
+    bool isInService(const Entry &entry) const;
     bool isServing(const Entry &entry) const;
+    bool isCounted(const Entry &entry, const std::string &service) const;
+    void assignVersionRoles(const std::string &service, SteadyTime now);
+    void assignAllVersionRoles(SteadyTime now);
+    std::vector<VersionRole> versionPreferences(const PlacementRequest &request) const;
+    const Entry *findOnline(const PlacementRequest &request, VersionRole role, SteadyTime now,
+                            bool &isFull) const;
+    const Entry *findBatch(const PlacementRequest &request, const FreeSlotMargin &margin,
+                           VersionRole role, SteadyTime now) const;
+    EndpointCandidate candidate(const Entry &entry, const PlacementRequest &request,
+                                SteadyTime now) const;
     bool isUsable(const Entry &entry, const PlacementRequest &request, SteadyTime now) const;
     bool isCold(const Entry &entry, SteadyTime now) const;
     void markCold(Entry &entry, std::chrono::milliseconds period, SteadyTime now);
     double coldRate(const std::string &service) const;
-    double otherDomainWeight() const;
-    double batchWeight(const Entry &entry, const PlacementRequest &request,
-                       const FreeSlotMargin &margin, SteadyTime now) const;
+    bool mayStartBatch(const Entry &entry, const PlacementRequest &request, SteadyTime now) const;
 
     std::string m_instance;
     std::vector<std::string> m_instances;
@@ -145,6 +177,7 @@
     UsageAge m_usageAge;
     BatchTurns m_batchTurns;
     LeavingEndpoints m_leaving;
+    VersionRoles m_versions;
 };
 
 } // namespace pistachiofall
--- a/src/fleet/fleetendpoint.h
+++ b/src/fleet/fleetendpoint.h
@@ -24,6 +24,8 @@
     /// The start time of the process in Unix milliseconds, or 0 if it was not reported. A different
     /// value under the same id means a different process.
     std::int64_t startedAt = 0;
+    /// The version of its software; empty if it was not reported.
+    std::string version = {};
 };
 
 } // namespace pistachiofall
--- a/src/serving/fleetpeers.cpp
+++ b/src/serving/fleetpeers.cpp
@@ -209,7 +209,7 @@
     noteUsageChange();
 }
 
-wire::FleetReportT FleetPeers::makeReport()
+wire::FleetReportT FleetPeers::makeReport(const std::string &peer)
 {
     wire::FleetReportT report;
     report.sender = std::make_unique<wire::FleetMemberT>(encode(m_self));
@@ -218,7 +218,7 @@
     report.leaving = m_isLeaving;
     const auto uptime = std::chrono::duration_cast<milliseconds>(m_clock.now() - m_startTime);
     report.uptimeMs = static_cast<std::uint32_t>(uptime.count());
-    m_callbacks.fillReport(report);
+    m_callbacks.fillReport(peer, report);
     return report;
 }
 
@@ -228,7 +228,7 @@
         const auto begin = m_clock.now();
         member->sentUsageVersion = m_usageVersion;
         wire::BodyUnion body;
-        body.Set(makeReport());
+        body.Set(makeReport(member->peer.name));
         const auto reply =
                 co_await m_client.call(member->peer.address, std::move(body), CallTimeout);
         const std::string outcome = isOk(reply) ? "heard" : "lost";
@@ -257,7 +257,7 @@
 {
     for (;;) {
         wire::BodyUnion body;
-        body.Set(makeReport());
+        body.Set(makeReport({}));
         const auto reply = co_await m_client.call(seed, std::move(body), CallTimeout);
         if (isOk(reply)) {
             if (const auto *message = valueOf(reply).AsFleetReportReply())
--- a/src/serving/fleetpeers.h
+++ b/src/serving/fleetpeers.h
@@ -43,8 +43,9 @@
 public:
     struct Callbacks
     {
-        /// Fills the usage of this instance into a report.
-        std::function<void(wire::FleetReportT &report)> fillReport;
+        /// Fills the usage of this instance into a report to a peer. The name is empty for one that
+        /// is known by its address only.
+        std::function<void(const std::string &peer, wire::FleetReportT &report)> fillReport;
         /// A report of a peer has arrived. hasRestarted is set for the first report after a restart
         /// of the peer's process.
         std::function<void(const std::string &peer, const wire::FleetReportT &report,
@@ -111,7 +112,7 @@
     boost::asio::awaitable<void> sendReports(std::shared_ptr<Member> member);
     boost::asio::awaitable<void> contactSeed(SocketAddress seed);
     boost::asio::awaitable<void> detectLostPeers();
-    wire::FleetReportT makeReport();
+    wire::FleetReportT makeReport(const std::string &peer);
     void handleReply(const wire::FleetReportReplyT &reply, const std::string &peer);
     std::shared_ptr<Member> addOrFindMember(const wire::FleetMemberT &member);
     std::int64_t countSameDomain() const;
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -151,6 +151,7 @@
         progress.service =
                 route == nullptr ? std::string() : std::string(chooseService(*route, item.id));
         progress.attempts = route == nullptr ? 0 : route->attempts;
+        progress.route = route == nullptr ? 0 : stableHash(route->name);
     }
 }
 
@@ -335,6 +336,7 @@
     options.maxBodyBytes = MaxItemResponseBytes;
     progress.call = m_dependencies.client->prepare(endpoint.address, std::move(sent), options);
     const auto call = progress.call;
+    const auto begin = m_dependencies.clock.now();
     m_dependencies.log.info("item_placed",
                             {{"job", job->record.id},
                              {"item", item.id},
@@ -351,7 +353,7 @@
     const ResponseKind kind = m_dependencies.protocol.classify(valueOf(responseHead), item.id);
     m_dependencies.leavingNotices.recordResponse(endpoint, valueOf(responseHead), kind);
     if (kind != ResponseKind::Success) {
-        handleFailureResponse(job, index, valueOf(responseHead), kind);
+        handleFailureResponse(job, index, endpoint, valueOf(responseHead), kind);
         co_return;
     }
     ItemOutput output(progress, m_dependencies.clock.now(), FirstEventTimeout, EventTimeout);
@@ -379,9 +381,17 @@
     }
     m_dependencies.board.recordSuccess(endpoint.id);
     m_dependencies.promptGuard.answered(progress.sharedParts);
+    const std::chrono::duration<double> took = m_dependencies.clock.now() - begin;
+    noteAnswer(progress, endpoint, false, took / std::max(1, output.eventCount()));
     finishItem(job, index, {item.id, false, progress.output});
 }
 
+void JobRunner::noteAnswer(const ItemProgress &progress, const FleetEndpoint &endpoint,
+                           bool isFailure, std::chrono::duration<double> timePerEvent) const
+{
+    m_dependencies.answers.notify({endpoint, progress.route, isFailure, timePerEvent});
+}
+
 // A run has failed at the endpoint, unless it was this instance that ended it.
 void JobRunner::recordInterruption(const JobPtr &job, std::size_t index,
                                    const FleetEndpoint &endpoint, bool hasEndpointEnded,
@@ -392,6 +402,7 @@
     if (hasEndpointEnded)
         noteEndpointEnd(job, index, endpoint);
     m_dependencies.board.recordFailure(endpoint.id, m_dependencies.clock.now());
+    noteAnswer(job->progress[index], endpoint, true, {});
     m_dependencies.log.warning("item_interrupted",
                                {{"job", job->record.id},
                                 {"item", job->items[index].id},
@@ -418,7 +429,8 @@
 }
 
 void JobRunner::handleFailureResponse(const JobPtr &job, std::size_t index,
-                                      const AnswerHead &responseHead, ResponseKind kind)
+                                      const FleetEndpoint &endpoint, const AnswerHead &responseHead,
+                                      ResponseKind kind)
 {
     ItemProgress &progress = job->progress[index];
     progress.notBefore = m_dependencies.clock.now() + RetryDelay;
@@ -433,6 +445,8 @@
         ++progress.failures.count;
     else
         return;
+    if (!progress.failures.isUnprocessable)
+        noteAnswer(progress, endpoint, true, {});
     m_dependencies.log.warning("item_failed",
                                {{"job", job->record.id},
                                 {"item", job->items[index].id},
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -97,12 +97,14 @@
     boost::asio::awaitable<void> runItem(JobPtr job, std::size_t index, Placement placement);
     boost::asio::awaitable<void> callEndpoint(JobPtr job, std::size_t index, Placement placement);
     boost::asio::awaitable<bool> confirmOwnership(JobPtr job);
+    void noteAnswer(const ItemProgress &progress, const FleetEndpoint &endpoint, bool isFailure,
+                    std::chrono::duration<double> timePerEvent) const;
     void recordInterruption(const JobPtr &job, std::size_t index, const FleetEndpoint &endpoint,
                             bool hasEndpointEnded, std::string_view reason);
     void noteEndpointEnd(const JobPtr &job, std::size_t index, const FleetEndpoint &endpoint);
     std::chrono::milliseconds retryDelay(const JobPtr &job, std::size_t index) const;
-    void handleFailureResponse(const JobPtr &job, std::size_t index, const AnswerHead &responseHead,
-                               ResponseKind kind);
+    void handleFailureResponse(const JobPtr &job, std::size_t index, const FleetEndpoint &endpoint,
+                               const AnswerHead &responseHead, ResponseKind kind);
     void finishItem(const JobPtr &job, std::size_t index, JobResult result);
     void release(const JobPtr &job, std::string_view reason);
     JobAdopter::Callbacks adopterCallbacks();
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -1,5 +1,6 @@
 #include "serving/onlineservice.h"
 
+#include "base/stablehash.h"
 #include "serving/eventprogress.h"
 #include "serving/eventsplitter.h"
 
@@ -318,10 +319,12 @@
 {
     context.excluded.insert(attempt.placement.endpoint.id);
     context.lastFailure = reason;
-    if (mayHaveRun)
+    if (mayHaveRun) {
         ++context.possibleRuns;
-    else
+        noteAnswer(context, attempt, true);
+    } else {
         ++context.declinedAttempts;
+    }
     attempt.call.reset();
     if (context.caller.hasDisconnected() || m_dependencies.clock.now() >= context.request.deadline)
         return;
@@ -340,6 +343,19 @@
                                 {"runs", context.possibleRuns}});
 }
 
+// A run that the caller or the deadline ended is no answer.
+void OnlineService::noteAnswer(const RequestContext &context, const Attempt &attempt,
+                               bool isFailure) const
+{
+    const auto now = m_dependencies.clock.now();
+    if (context.caller.hasDisconnected() || now >= context.request.deadline)
+        return;
+    const std::chrono::duration<double> took = now - attempt.begin;
+    m_dependencies.answers.notify({attempt.placement.endpoint,
+                                   stableHash(context.request.route->name), isFailure,
+                                   took / std::max(1, attempt.eventCount)});
+}
+
 asio::awaitable<void> OnlineService::forwardResponse(ServerExchange &exchange,
                                                      RequestContext &context, Attempt &attempt)
 {
@@ -363,6 +379,7 @@
     // An error says nothing about what the endpoint does with the prompt.
     if (attempt.responseHead.status < 300)
         m_dependencies.promptGuard.answered(context.request.metadata.sharedParts);
+    noteAnswer(context, attempt, attempt.responseHead.status >= MinServerErrorStatus);
     context.isFinished = true;
     const auto completed = m_dependencies.clock.now();
     m_dependencies.metrics.histogram("request_seconds").record(completed - context.request.arrival);
@@ -460,6 +477,7 @@
         co_await exchange.startStream(attempt.responseHead.status, attempt.responseHead.headers);
     m_dependencies.board.recordSuccess(attempt.placement.endpoint.id);
     m_dependencies.promptGuard.answered(context.request.metadata.sharedParts);
+    noteAnswer(context, attempt, false);
     context.isFinished = true;
     const auto completed = m_dependencies.clock.now();
     m_dependencies.metrics.histogram("stream_seconds").record(completed - context.request.arrival);
--- a/src/serving/onlineservice.h
+++ b/src/serving/onlineservice.h
@@ -7,6 +7,7 @@
 #include "http/endpointclient.h"
 #include "http/serverexchange.h"
 #include "metrics/metricsregistry.h"
+#include "serving/answerobservers.h"
 #include "serving/disconnectsignal.h"
 #include "serving/leavingnotices.h"
 #include "serving/onlinerequest.h"
@@ -35,6 +36,7 @@
     Scheduler &scheduler;
     PromptGuard &promptGuard;
     LeavingNotices &leavingNotices;
+    const AnswerObservers &answers;
     std::shared_ptr<EndpointClient> client;
     /// The failure domain of this instance.
     std::string failureDomain;
@@ -76,6 +78,7 @@
     void noteCallFailure(RequestContext &context, Attempt &attempt, const CallFailure &failure);
     void noteFailure(RequestContext &context, Attempt &attempt, std::string_view reason,
                      bool mayHaveRun);
+    void noteAnswer(const RequestContext &context, const Attempt &attempt, bool isFailure) const;
     bool mayRetry(const RequestContext &context) const;
 
     ServingDependencies m_dependencies;
--- a/src/serving/ownedjob.h
+++ b/src/serving/ownedjob.h
@@ -56,6 +56,8 @@
     PromptParts sharedParts;
     /// The service that the job's routing sends the item to; empty without a route.
     std::string service;
+    /// The hash of the name of that route.
+    std::uint64_t route = 0;
 };
 
 /// A batch job whose items this instance runs.
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -17,6 +17,7 @@
 #include "serving/jobservice.h"
 #include "serving/leavingnotices.h"
 #include "serving/promptguard.h"
+#include "serving/rolloutdirector.h"
 #include "serving/storewatchers.h"
 #include "settings/loadfleetsettings.h"
 #include "wire/body.h"
@@ -112,7 +113,8 @@
     void membersChanged();
     void peerReported(const std::string &peer, const wire::FleetReportT &report);
     void peerLost(const std::string &peer, bool hasStopped);
-    void fillReport(wire::FleetReportT &report);
+    void fillReport(const std::string &peer, wire::FleetReportT &report);
+    void createRollouts();
     bool isFirstInstanceFor(PromptPart part) const;
     bool isReady() const;
     milliseconds storeAge() const;
@@ -139,6 +141,7 @@
     Scheduler scheduler;
     PromptGuard promptGuard;
     LeavingNotices leavingNotices;
+    AnswerObservers answers;
     FleetPeers peers;
     ConfigHolder config;
     const std::shared_ptr<EndpointClient> client;
@@ -151,6 +154,8 @@
     std::unique_ptr<JobService> jobService;
     std::unique_ptr<Ingress> ingress;
     std::unique_ptr<StoreWatchers> watchers;
+    /// Null if the settings name no bounds for rollouts.
+    std::unique_ptr<RolloutDirector> rollouts;
 
     std::unique_ptr<PeerServer> peerServer;
     std::shared_ptr<HttpListener> callerListener;
@@ -194,17 +199,9 @@
 
 ServingDependencies ServingInstance::Data::dependencies()
 {
-    return {clock,
-            *protocol,
-            log,
-            metrics,
-            board,
-            quotas,
-            scheduler,
-            promptGuard,
-            leavingNotices,
-            client,
-            settings.failureDomain};
+    return {clock,          *protocol, log,       metrics,
+            board,          quotas,    scheduler, promptGuard,
+            leavingNotices, answers,   client,    settings.failureDomain};
 }
 
 Result<Done> ServingInstance::Data::open(const SpaceFactory &spaceFactory)
@@ -215,7 +212,9 @@
     space = std::make_shared<GuardedSpace>(valueOf(std::move(created)), clock, log, metrics);
     quotas.setSlack(settings.quotaSlack);
     createServices();
-    const StoreWatchers::Targets targets{config, board, scheduler, peers};
+    if (settings.rollouts)
+        createRollouts();
+    const StoreWatchers::Targets targets{config, board, scheduler, peers, rollouts.get()};
     watchers = std::make_unique<StoreWatchers>(context.get_executor(), clock, log, metrics, space,
                                                *protocol, settings, targets);
     return listen();
@@ -269,7 +268,9 @@
     scheduler.setCallbacks(std::move(schedulerCallbacks));
 
     FleetPeers::Callbacks peerCallbacks;
-    peerCallbacks.fillReport = [this](wire::FleetReportT &report) { fillReport(report); };
+    peerCallbacks.fillReport = [this](const std::string &peer, wire::FleetReportT &report) {
+        fillReport(peer, report);
+    };
     peerCallbacks.reported = [this](const std::string &peer, const wire::FleetReportT &report,
                                     bool hasRestarted) {
         if (hasRestarted)
@@ -286,6 +287,19 @@
     peers.setCallbacks(std::move(peerCallbacks));
 }
 
+// An order for a rollout and the entries of the version's endpoints come by different watches.
+void ServingInstance::Data::createRollouts()
+{
+    board.enableRollouts(settings.changeBound);
+    RolloutDirector::Callbacks callbacks;
+    callbacks.storeAge = [this] { return storeAge(); };
+    callbacks.changed = [this] { scheduler.scheduleUpdate(); };
+    rollouts = std::make_unique<RolloutDirector>(context.get_executor(), clock, log, metrics,
+                                                 *protocol, space, board, peers, *settings.rollouts,
+                                                 std::move(callbacks));
+    answers.add([this](const EndpointAnswer &answer) { rollouts->recordAnswer(answer); });
+}
+
 Result<Done> ServingInstance::Data::listen()
 {
     const auto executor = context.get_executor();
@@ -360,6 +374,8 @@
     watchers->handleReport(peer, report);
     promptGuard.handleReport(peer, report);
     leavingNotices.handleReport(peer, report);
+    if (rollouts)
+        rollouts->handleReport(peer, report);
     std::map<std::string, EndpointUsage> use;
     for (const auto &each : report.endpoints)
         use[each->endpoint] = {each->online, each->batch};
@@ -390,12 +406,14 @@
         quotas.peerStopped(peer, clock.now());
     board.removePeer(peer);
     jobOwners.removePeer(peer);
+    if (rollouts)
+        rollouts->removePeer(peer);
     scheduler.removePeer(peer);
     jobs->adopter().expediteScan();
     scheduler.scheduleUpdate();
 }
 
-void ServingInstance::Data::fillReport(wire::FleetReportT &report)
+void ServingInstance::Data::fillReport(const std::string &peer, wire::FleetReportT &report)
 {
     report.configVersion = config.version();
     for (const auto &[service, waiting] : jobs->waitingItems()) {
@@ -408,6 +426,8 @@
     watchers->fillReport(report);
     promptGuard.fillReport(report);
     leavingNotices.fillReport(report);
+    if (rollouts)
+        rollouts->fillReport(peer, report);
     for (const auto &[id, use] : board.localUsage()) {
         auto entry = std::make_unique<wire::EndpointUseT>();
         entry->endpoint = id;
@@ -513,6 +533,8 @@
         co_await sleepFor(TickInterval);
         watchers->tick();
         promptGuard.tick();
+        if (rollouts)
+            rollouts->tick();
         board.removeExpired(clock.now());
         quotas.setHistoryKnown(
                 peers.hasPeerWithUptimeAbove(settings.quotaWindow + QuotaMemoryMargin),
--- a/src/serving/servingprotocol.h
+++ b/src/serving/servingprotocol.h
@@ -2,6 +2,7 @@
 
 #include "base/result.h"
 #include "fleet/fleetendpoint.h"
+#include "fleet/rollout.h"
 #include "fleet/servingconfig.h"
 #include "http/answerhead.h"
 #include "http/httpheaders.h"
@@ -31,6 +32,7 @@
     std::string endpointKind;
     std::string evacuationKind;
     std::string retirementKind;
+    std::string rolloutKind;
 };
 
 /// Names and formats of one protocol towards callers, endpoints and the store. It only translates
@@ -48,6 +50,12 @@
     /// The status of a retirement: in progress, or complete because the instance holds nothing any
     /// more.
     virtual boost::json::value encodeRetirement(bool isComplete) const = 0;
+    /// ProtocolError names the invalid field of the order.
+    virtual Result<RolloutOrder> decodeRollout(const SpaceObject &object) const = 0;
+    /// Nothing if no instance has written a status that can be read.
+    virtual std::optional<RolloutStatus>
+    decodeRolloutStatus(const boost::json::value &status) const = 0;
+    virtual boost::json::value encodeRolloutStatus(const RolloutStatus &status) const = 0;
 
     /// Whether the path is that of the load balancer's readiness probe.
     virtual bool isReadinessProbe(std::string_view path) const = 0;
--- a/src/serving/storewatchers.cpp
+++ b/src/serving/storewatchers.cpp
@@ -50,6 +50,8 @@
     addConfigWatcher();
     addEndpointWatcher();
     addEvacuationWatcher();
+    if (targets.rollouts != nullptr)
+        addRolloutWatcher();
     if (!settings.callers) {
         m_retirements = std::make_unique<RetirementWatcher>(log, m_space, protocol, settings.name,
                                                             executor);
@@ -123,6 +125,14 @@
     m_shared[EvacuationWatch] = &add(kind, std::move(callbacks));
 }
 
+void StoreWatchers::addRolloutWatcher()
+{
+    const std::string kind = m_protocol.objectKinds().rolloutKind;
+    KindWatcher::Callbacks callbacks = m_targets.rollouts->watcherCallbacks();
+    shareWatch(callbacks, kind);
+    m_shared[RolloutWatch] = &add(kind, std::move(callbacks));
+}
+
 // The configuration is not shared: its watch also shows each instance whether the store answers it.
 void StoreWatchers::shareWatch(KindWatcher::Callbacks &callbacks, const std::string &kind)
 {
@@ -151,9 +161,11 @@
 void StoreWatchers::tick()
 {
     m_endpoints.removeExpired();
-    for (KindWatcher *watcher : m_shared)
-        watcher->checkFreshness(
-                [this, watcher] { return m_watchPeers.group(watcher->kind()).rank; });
+    for (KindWatcher *watcher : m_shared) {
+        if (watcher != nullptr)
+            watcher->checkFreshness(
+                    [this, watcher] { return m_watchPeers.group(watcher->kind()).rank; });
+    }
 }
 
 // Endpoints that start together cause many changes within a second, and each response to a watch
@@ -188,15 +200,18 @@
     report.configMark = encodeMark(m_shared[ConfigWatch]->freshness().mark(now));
     report.endpointMark = encodeMark(m_shared[EndpointWatch]->freshness().mark(now));
     report.evacuationMark = encodeMark(m_shared[EvacuationWatch]->freshness().mark(now));
+    if (hasWatch(RolloutWatch))
+        report.rolloutMark = encodeMark(m_shared[RolloutWatch]->freshness().mark(now));
 }
 
 void StoreWatchers::handleReport(const std::string &peer, const wire::FleetReportT &report)
 {
     const std::array<const wire::WatchMark *, SharedWatchCount> marks{
-            report.configMark.get(), report.endpointMark.get(), report.evacuationMark.get()};
+            report.configMark.get(), report.endpointMark.get(), report.evacuationMark.get(),
+            report.rolloutMark.get()};
     for (std::size_t watch = 0; watch < SharedWatchCount; ++watch) {
         // Instances of an earlier version report no marks.
-        if (marks[watch] == nullptr)
+        if (marks[watch] == nullptr || !hasWatch(watch))
             continue;
         const std::uint64_t newestChange = marks[watch]->newestChange();
         m_watchPeers.recordMark(peer, m_shared[watch]->kind(), newestChange);
@@ -208,7 +223,7 @@
 wire::ChangesDataT StoreWatchers::passChanges(const wire::ChangesFetchT &fetch) const
 {
     for (const KindWatcher *watcher : m_shared) {
-        if (watcher->kind() == fetch.kind)
+        if (watcher != nullptr && watcher->kind() == fetch.kind)
             return WatchPeers::encode(watcher->changesSince(fetch.knownRevision));
     }
     return {};
@@ -226,6 +241,8 @@
 {
     const auto now = m_clock.now();
     for (const KindWatcher *watcher : m_shared) {
+        if (watcher == nullptr)
+            continue;
         const auto age = duration_cast<milliseconds>(now - watcher->confirmedAt());
         metrics.gauge("watch_age_ms", {{"kind", watcher->kind()}}).set(age.count());
         metrics.gauge("watch_follows_peers", {{"kind", watcher->kind()}})
--- a/src/serving/storewatchers.h
+++ b/src/serving/storewatchers.h
@@ -8,6 +8,7 @@
 #include "serving/instancedirectory.h"
 #include "serving/kindwatcher.h"
 #include "serving/retirementwatcher.h"
+#include "serving/rolloutdirector.h"
 #include "serving/scheduler.h"
 #include "serving/servingprotocol.h"
 #include "serving/watchpeers.h"
@@ -37,6 +38,8 @@
         EndpointPool &endpoints;
         Scheduler &scheduler;
         FleetPeers &peers;
+        /// Null if the instance takes no orders for rollouts.
+        RolloutDirector *rollouts = nullptr;
     };
 
     StoreWatchers(const boost::asio::any_io_executor &executor, const Clock &clock,
@@ -67,6 +70,8 @@
         ConfigWatch,
         EndpointWatch,
         EvacuationWatch,
+        /// Only if the instance takes orders for rollouts.
+        RolloutWatch,
         SharedWatchCount
     };
 
@@ -74,6 +79,8 @@
     void addConfigWatcher();
     void addEndpointWatcher();
     void addEvacuationWatcher();
+    void addRolloutWatcher();
+    bool hasWatch(std::size_t watch) const { return m_shared.at(watch) != nullptr; }
     void applyEvacuations();
     void shareWatch(KindWatcher::Callbacks &callbacks, const std::string &kind);
     std::chrono::milliseconds boundedCoalesceTime(std::chrono::milliseconds time) const;
--- a/src/settings/fleetsettings.h
+++ b/src/settings/fleetsettings.h
@@ -2,6 +2,7 @@
 
 #include "base/socketaddress.h"
 #include "base/systemmemory.h"
+#include "fleet/rollout.h"
 #include "store/storesettings.h"
 
 #include <chrono>
@@ -44,6 +45,8 @@
     /// How long an endpoint whose entry expired during a store outage may be missing after the
     /// store is available again.
     std::chrono::milliseconds lapsedEntryGrace{2000};
+    /// The bounds on rollouts of versions. Without them the instance takes no orders for rollouts.
+    std::optional<RolloutBounds> rollouts = std::nullopt;
 };
 
 } // namespace pistachiofall
--- a/src/settings/loadfleetsettings.cpp
+++ b/src/settings/loadfleetsettings.cpp
@@ -16,7 +16,8 @@
 using detail::SectionReader;
 using detail::SettingsErrors;
 
-constexpr std::array<std::string_view, 4> Sections{"instance", "listen", "store", "fleet"};
+constexpr std::array<std::string_view, 5> Sections{"instance", "listen", "store", "fleet",
+                                                   "rollouts"};
 constexpr std::uint16_t MinPort = 1;
 constexpr std::int64_t MaxMilliseconds = 600'000;
 // The object of a job must have room for one result and the description of the job.
@@ -32,7 +33,7 @@
         if (std::find(Sections.begin(), Sections.end(), key.str()) == Sections.end())
             errors.add(std::max<std::size_t>(1, key.source().begin.line),
                        "unknown section '" + std::string(key.str())
-                               + "'; accepted: instance, listen, store, fleet");
+                               + "'; accepted: instance, listen, store, fleet, rollouts");
     }
 }
 
@@ -52,6 +53,18 @@
     return seeds;
 }
 
+std::optional<RolloutBounds> readRollouts(const toml::table &document, SettingsErrors &errors)
+{
+    if (!document.contains("rollouts"))
+        return std::nullopt;
+    RolloutBounds bounds;
+    SectionReader reader(document, "rollouts", errors);
+    reader.fraction("max_exposure", bounds.maxExposure);
+    reader.milliseconds("rollback_ms", 100, MaxMilliseconds, bounds.rollbackTime);
+    reader.rejectUnknownKeys();
+    return bounds;
+}
+
 Result<FleetSettings> readDocument(const toml::table &document, const std::string &file)
 {
     SettingsErrors errors(file);
@@ -83,6 +96,7 @@
     settings.memoryBytes = memoryMegabytes << MegabyteShift;
     settings.maxObjectBytes = maxObjectBytes;
     settings.seeds = readSeeds(document, errors);
+    settings.rollouts = readRollouts(document, errors);
     toml::table fleetTable;
     if (const toml::table *fleet = document["fleet"].as_table())
         fleetTable = *fleet;
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -148,6 +148,16 @@
 struct LeavingEndpointBuilder;
 struct LeavingEndpointT;
 
+struct AnswerCounts;
+
+struct RouteAnswers;
+
+struct EndpointAnswers;
+
+struct RolloutView;
+struct RolloutViewBuilder;
+struct RolloutViewT;
+
 struct FleetReport;
 struct FleetReportBuilder;
 struct FleetReportT;
@@ -1144,6 +1154,107 @@
   using type = EndpointEndMark;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) AnswerCounts FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t answers_;
+  uint32_t failures_;
+  uint32_t slow_;
+
+ public:
+  struct Traits;
+  AnswerCounts()
+      : answers_(0),
+        failures_(0),
+        slow_(0) {
+  }
+  AnswerCounts(uint32_t _answers, uint32_t _failures, uint32_t _slow)
+      : answers_(flatbuffers::EndianScalar(_answers)),
+        failures_(flatbuffers::EndianScalar(_failures)),
+        slow_(flatbuffers::EndianScalar(_slow)) {
+  }
+  uint32_t answers() const {
+    return flatbuffers::EndianScalar(answers_);
+  }
+  uint32_t failures() const {
+    return flatbuffers::EndianScalar(failures_);
+  }
+  uint32_t slow() const {
+    return flatbuffers::EndianScalar(slow_);
+  }
+};
+FLATBUFFERS_STRUCT_END(AnswerCounts, 12);
+
+struct AnswerCounts::Traits {
+  using type = AnswerCounts;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RouteAnswers FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t route_;
+  pistachiofall::wire::AnswerCounts target_;
+  pistachiofall::wire::AnswerCounts others_;
+
+ public:
+  struct Traits;
+  RouteAnswers()
+      : route_(0),
+        target_(),
+        others_() {
+  }
+  RouteAnswers(uint64_t _route, const pistachiofall::wire::AnswerCounts &_target, const pistachiofall::wire::AnswerCounts &_others)
+      : route_(flatbuffers::EndianScalar(_route)),
+        target_(_target),
+        others_(_others) {
+  }
+  uint64_t route() const {
+    return flatbuffers::EndianScalar(route_);
+  }
+  const pistachiofall::wire::AnswerCounts &target() const {
+    return target_;
+  }
+  const pistachiofall::wire::AnswerCounts &others() const {
+    return others_;
+  }
+};
+FLATBUFFERS_STRUCT_END(RouteAnswers, 32);
+
+struct RouteAnswers::Traits {
+  using type = RouteAnswers;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EndpointAnswers FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  pistachiofall::wire::AnswerCounts answers_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  EndpointAnswers()
+      : endpoint_(0),
+        answers_(),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  EndpointAnswers(uint64_t _endpoint, const pistachiofall::wire::AnswerCounts &_answers)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        answers_(_answers),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  const pistachiofall::wire::AnswerCounts &answers() const {
+    return answers_;
+  }
+};
+FLATBUFFERS_STRUCT_END(EndpointAnswers, 24);
+
+struct EndpointAnswers::Traits {
+  using type = EndpointAnswers;
+};
+
 struct PingT : public flatbuffers::NativeTable {
   typedef Ping TableType;
 };
@@ -4114,6 +4225,184 @@
 
 flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RolloutViewT : public flatbuffers::NativeTable {
+  typedef RolloutView TableType;
+  std::string service{};
+  std::string version{};
+  int64_t startedAtMs = 0;
+  uint64_t revision = 0;
+  uint8_t phase = 0;
+  uint16_t sharePerTenThousand = 0;
+  bool isBad = false;
+  std::vector<pistachiofall::wire::RouteAnswers> routes{};
+  std::vector<pistachiofall::wire::EndpointAnswers> endpoints{};
+};
+
+struct RolloutView FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutViewT NativeTableType;
+  typedef RolloutViewBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_VERSION = 6,
+    VT_STARTEDATMS = 8,
+    VT_REVISION = 10,
+    VT_PHASE = 12,
+    VT_SHAREPERTENTHOUSAND = 14,
+    VT_ISBAD = 16,
+    VT_ROUTES = 18,
+    VT_ENDPOINTS = 20
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  int64_t startedAtMs() const {
+    return GetField<int64_t>(VT_STARTEDATMS, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint8_t phase() const {
+    return GetField<uint8_t>(VT_PHASE, 0);
+  }
+  uint16_t sharePerTenThousand() const {
+    return GetField<uint16_t>(VT_SHAREPERTENTHOUSAND, 0);
+  }
+  bool isBad() const {
+    return GetField<uint8_t>(VT_ISBAD, 0) != 0;
+  }
+  const flatbuffers::Vector<const pistachiofall::wire::RouteAnswers *> *routes() const {
+    return GetPointer<const flatbuffers::Vector<const pistachiofall::wire::RouteAnswers *> *>(VT_ROUTES);
+  }
+  const flatbuffers::Vector<const pistachiofall::wire::EndpointAnswers *> *endpoints() const {
+    return GetPointer<const flatbuffers::Vector<const pistachiofall::wire::EndpointAnswers *> *>(VT_ENDPOINTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyField<int64_t>(verifier, VT_STARTEDATMS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint16_t>(verifier, VT_SHAREPERTENTHOUSAND, 2) &&
+           VerifyField<uint8_t>(verifier, VT_ISBAD, 1) &&
+           VerifyOffset(verifier, VT_ROUTES) &&
+           verifier.VerifyVector(routes()) &&
+           VerifyOffset(verifier, VT_ENDPOINTS) &&
+           verifier.VerifyVector(endpoints()) &&
+           verifier.EndTable();
+  }
+  RolloutViewT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RolloutViewT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RolloutView> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutViewT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RolloutViewBuilder {
+  typedef RolloutView Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RolloutView::VT_SERVICE, service);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(RolloutView::VT_VERSION, version);
+  }
+  void add_startedAtMs(int64_t startedAtMs) {
+    fbb_.AddElement<int64_t>(RolloutView::VT_STARTEDATMS, startedAtMs, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(RolloutView::VT_REVISION, revision, 0);
+  }
+  void add_phase(uint8_t phase) {
+    fbb_.AddElement<uint8_t>(RolloutView::VT_PHASE, phase, 0);
+  }
+  void add_sharePerTenThousand(uint16_t sharePerTenThousand) {
+    fbb_.AddElement<uint16_t>(RolloutView::VT_SHAREPERTENTHOUSAND, sharePerTenThousand, 0);
+  }
+  void add_isBad(bool isBad) {
+    fbb_.AddElement<uint8_t>(RolloutView::VT_ISBAD, static_cast<uint8_t>(isBad), 0);
+  }
+  void add_routes(flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::RouteAnswers *>> routes) {
+    fbb_.AddOffset(RolloutView::VT_ROUTES, routes);
+  }
+  void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointAnswers *>> endpoints) {
+    fbb_.AddOffset(RolloutView::VT_ENDPOINTS, endpoints);
+  }
+  explicit RolloutViewBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutView> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutView>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutView> CreateRolloutView(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    int64_t startedAtMs = 0,
+    uint64_t revision = 0,
+    uint8_t phase = 0,
+    uint16_t sharePerTenThousand = 0,
+    bool isBad = false,
+    flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::RouteAnswers *>> routes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointAnswers *>> endpoints = 0) {
+  RolloutViewBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_startedAtMs(startedAtMs);
+  builder_.add_endpoints(endpoints);
+  builder_.add_routes(routes);
+  builder_.add_version(version);
+  builder_.add_service(service);
+  builder_.add_sharePerTenThousand(sharePerTenThousand);
+  builder_.add_isBad(isBad);
+  builder_.add_phase(phase);
+  return builder_.Finish();
+}
+
+struct RolloutView::Traits {
+  using type = RolloutView;
+  static auto constexpr Create = CreateRolloutView;
+};
+
+inline flatbuffers::Offset<RolloutView> CreateRolloutViewDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *version = nullptr,
+    int64_t startedAtMs = 0,
+    uint64_t revision = 0,
+    uint8_t phase = 0,
+    uint16_t sharePerTenThousand = 0,
+    bool isBad = false,
+    const std::vector<pistachiofall::wire::RouteAnswers> *routes = nullptr,
+    const std::vector<pistachiofall::wire::EndpointAnswers> *endpoints = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  auto routes__ = routes ? _fbb.CreateVectorOfStructs<pistachiofall::wire::RouteAnswers>(*routes) : 0;
+  auto endpoints__ = endpoints ? _fbb.CreateVectorOfStructs<pistachiofall::wire::EndpointAnswers>(*endpoints) : 0;
+  return pistachiofall::wire::CreateRolloutView(
+      _fbb,
+      service__,
+      version__,
+      startedAtMs,
+      revision,
+      phase,
+      sharePerTenThousand,
+      isBad,
+      routes__,
+      endpoints__);
+}
+
+flatbuffers::Offset<RolloutView> CreateRolloutView(flatbuffers::FlatBufferBuilder &_fbb, const RolloutViewT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FleetReportT : public flatbuffers::NativeTable {
   typedef FleetReport TableType;
   std::unique_ptr<pistachiofall::wire::FleetMemberT> sender{};
@@ -4134,6 +4423,8 @@
   uint32_t waitingItems = 0;
   std::vector<uint64_t> ownedJobs{};
   std::vector<std::unique_ptr<pistachiofall::wire::ServiceQueueT>> itemQueues{};
+  std::unique_ptr<pistachiofall::wire::WatchMark> rolloutMark{};
+  std::vector<std::unique_ptr<pistachiofall::wire::RolloutViewT>> rollouts{};
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4162,7 +4453,9 @@
     VT_LEAVINGENDPOINTS = 32,
     VT_WAITINGITEMS = 34,
     VT_OWNEDJOBS = 36,
-    VT_ITEMQUEUES = 38
+    VT_ITEMQUEUES = 38,
+    VT_ROLLOUTMARK = 40,
+    VT_ROLLOUTS = 42
   };
   const pistachiofall::wire::FleetMember *sender() const {
     return GetPointer<const pistachiofall::wire::FleetMember *>(VT_SENDER);
@@ -4218,6 +4511,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *itemQueues() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *>(VT_ITEMQUEUES);
   }
+  const pistachiofall::wire::WatchMark *rolloutMark() const {
+    return GetStruct<const pistachiofall::wire::WatchMark *>(VT_ROLLOUTMARK);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>> *rollouts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>> *>(VT_ROLLOUTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -4252,6 +4551,10 @@
            VerifyOffset(verifier, VT_ITEMQUEUES) &&
            verifier.VerifyVector(itemQueues()) &&
            verifier.VerifyVectorOfTables(itemQueues()) &&
+           VerifyField<pistachiofall::wire::WatchMark>(verifier, VT_ROLLOUTMARK, 8) &&
+           VerifyOffset(verifier, VT_ROLLOUTS) &&
+           verifier.VerifyVector(rollouts()) &&
+           verifier.VerifyVectorOfTables(rollouts()) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4317,6 +4620,12 @@
   void add_itemQueues(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> itemQueues) {
     fbb_.AddOffset(FleetReport::VT_ITEMQUEUES, itemQueues);
   }
+  void add_rolloutMark(const pistachiofall::wire::WatchMark *rolloutMark) {
+    fbb_.AddStruct(FleetReport::VT_ROLLOUTMARK, rolloutMark);
+  }
+  void add_rollouts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>>> rollouts) {
+    fbb_.AddOffset(FleetReport::VT_ROLLOUTS, rollouts);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4347,11 +4656,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>>> leavingEndpoints = 0,
     uint32_t waitingItems = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ownedJobs = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> itemQueues = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> itemQueues = 0,
+    const pistachiofall::wire::WatchMark *rolloutMark = nullptr,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>>> rollouts = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configVersion(configVersion);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_rollouts(rollouts);
+  builder_.add_rolloutMark(rolloutMark);
   builder_.add_itemQueues(itemQueues);
   builder_.add_ownedJobs(ownedJobs);
   builder_.add_waitingItems(waitingItems);
@@ -4394,7 +4707,9 @@
     const std::vector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>> *leavingEndpoints = nullptr,
     uint32_t waitingItems = 0,
     const std::vector<uint64_t> *ownedJobs = nullptr,
-    const std::vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *itemQueues = nullptr) {
+    const std::vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *itemQueues = nullptr,
+    const pistachiofall::wire::WatchMark *rolloutMark = nullptr,
+    const std::vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>> *rollouts = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>>(*organisations) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*queues) : 0;
@@ -4402,6 +4717,7 @@
   auto leavingEndpoints__ = leavingEndpoints ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::LeavingEndpoint>>(*leavingEndpoints) : 0;
   auto ownedJobs__ = ownedJobs ? _fbb.CreateVector<uint64_t>(*ownedJobs) : 0;
   auto itemQueues__ = itemQueues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*itemQueues) : 0;
+  auto rollouts__ = rollouts ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::RolloutView>>(*rollouts) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       sender,
@@ -4421,7 +4737,9 @@
       leavingEndpoints__,
       waitingItems,
       ownedJobs__,
-      itemQueues__);
+      itemQueues__,
+      rolloutMark,
+      rollouts__);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6429,6 +6747,56 @@
       _startedAt);
 }
 
+inline RolloutViewT *RolloutView::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RolloutViewT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RolloutView::UnPackTo(RolloutViewT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
+  { auto _e = startedAtMs(); _o->startedAtMs = _e; }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = phase(); _o->phase = _e; }
+  { auto _e = sharePerTenThousand(); _o->sharePerTenThousand = _e; }
+  { auto _e = isBad(); _o->isBad = _e; }
+  { auto _e = routes(); if (_e) { _o->routes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->routes[_i] = *_e->Get(_i); } } }
+  { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<RolloutView> RolloutView::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutViewT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRolloutView(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RolloutView> CreateRolloutView(flatbuffers::FlatBufferBuilder &_fbb, const RolloutViewT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RolloutViewT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
+  auto _startedAtMs = _o->startedAtMs;
+  auto _revision = _o->revision;
+  auto _phase = _o->phase;
+  auto _sharePerTenThousand = _o->sharePerTenThousand;
+  auto _isBad = _o->isBad;
+  auto _routes = _o->routes.size() ? _fbb.CreateVectorOfStructs(_o->routes) : 0;
+  auto _endpoints = _o->endpoints.size() ? _fbb.CreateVectorOfStructs(_o->endpoints) : 0;
+  return pistachiofall::wire::CreateRolloutView(
+      _fbb,
+      _service,
+      _version,
+      _startedAtMs,
+      _revision,
+      _phase,
+      _sharePerTenThousand,
+      _isBad,
+      _routes,
+      _endpoints);
+}
+
 inline FleetReportT::FleetReportT(const FleetReportT &o)
       : sender((o.sender) ? new pistachiofall::wire::FleetMemberT(*o.sender) : nullptr),
         incarnation(o.incarnation),
@@ -6441,7 +6809,8 @@
         endpointMark((o.endpointMark) ? new pistachiofall::wire::WatchMark(*o.endpointMark) : nullptr),
         evacuationMark((o.evacuationMark) ? new pistachiofall::wire::WatchMark(*o.evacuationMark) : nullptr),
         waitingItems(o.waitingItems),
-        ownedJobs(o.ownedJobs) {
+        ownedJobs(o.ownedJobs),
+        rolloutMark((o.rolloutMark) ? new pistachiofall::wire::WatchMark(*o.rolloutMark) : nullptr) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new pistachiofall::wire::EndpointUseT(*endpoints_) : nullptr); }
   organisations.reserve(o.organisations.size());
@@ -6454,6 +6823,8 @@
   for (const auto &leavingEndpoints_ : o.leavingEndpoints) { leavingEndpoints.emplace_back((leavingEndpoints_) ? new pistachiofall::wire::LeavingEndpointT(*leavingEndpoints_) : nullptr); }
   itemQueues.reserve(o.itemQueues.size());
   for (const auto &itemQueues_ : o.itemQueues) { itemQueues.emplace_back((itemQueues_) ? new pistachiofall::wire::ServiceQueueT(*itemQueues_) : nullptr); }
+  rollouts.reserve(o.rollouts.size());
+  for (const auto &rollouts_ : o.rollouts) { rollouts.emplace_back((rollouts_) ? new pistachiofall::wire::RolloutViewT(*rollouts_) : nullptr); }
 }
 
 inline FleetReportT &FleetReportT::operator=(FleetReportT o) FLATBUFFERS_NOEXCEPT {
@@ -6475,6 +6846,8 @@
   std::swap(waitingItems, o.waitingItems);
   std::swap(ownedJobs, o.ownedJobs);
   std::swap(itemQueues, o.itemQueues);
+  std::swap(rolloutMark, o.rolloutMark);
+  std::swap(rollouts, o.rollouts);
   return *this;
 }
 
@@ -6505,6 +6878,8 @@
   { auto _e = waitingItems(); _o->waitingItems = _e; }
   { auto _e = ownedJobs(); if (_e) { _o->ownedJobs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ownedJobs[_i] = _e->Get(_i); } } }
   { auto _e = itemQueues(); if (_e) { _o->itemQueues.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->itemQueues[_i] = std::unique_ptr<pistachiofall::wire::ServiceQueueT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = rolloutMark(); if (_e) _o->rolloutMark = std::unique_ptr<pistachiofall::wire::WatchMark>(new pistachiofall::wire::WatchMark(*_e)); }
+  { auto _e = rollouts(); if (_e) { _o->rollouts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rollouts[_i] = std::unique_ptr<pistachiofall::wire::RolloutViewT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6533,6 +6908,8 @@
   auto _waitingItems = _o->waitingItems;
   auto _ownedJobs = _o->ownedJobs.size() ? _fbb.CreateVector(_o->ownedJobs) : 0;
   auto _itemQueues = _o->itemQueues.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> (_o->itemQueues.size(), [](size_t i, _VectorArgs *__va) { return CreateServiceQueue(*__va->__fbb, __va->__o->itemQueues[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _rolloutMark = _o->rolloutMark ? _o->rolloutMark.get() : nullptr;
+  auto _rollouts = _o->rollouts.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::RolloutView>> (_o->rollouts.size(), [](size_t i, _VectorArgs *__va) { return CreateRolloutView(*__va->__fbb, __va->__o->rollouts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       _sender,
@@ -6552,7 +6929,9 @@
       _leavingEndpoints,
       _waitingItems,
       _ownedJobs,
-      _itemQueues);
+      _itemQueues,
+      _rolloutMark,
+      _rollouts);
 }
 
 inline FleetReportReplyT::FleetReportReplyT(const FleetReportReplyT &o)
--- a/tests/settings/loadfleetsettingstest.cpp
+++ b/tests/settings/loadfleetsettingstest.cpp
@@ -24,6 +24,9 @@
 seeds = ["127.0.0.2:82"]
 quota_window_ms = 5000
 stop_grace_ms = 8000
+[rollouts]
+max_exposure = 0.2
+rollback_ms = 4000
 )",
                                              "test");
     CHECK(isOk(settings));
@@ -33,6 +36,9 @@
     CHECK(valueOf(settings).store.callTimeout == std::chrono::milliseconds{700});
     LONGS_EQUAL(65536, valueOf(settings).maxObjectBytes);
     CHECK(valueOf(settings).stopGrace == std::chrono::seconds{8});
+    CHECK(valueOf(settings).rollouts.has_value());
+    DOUBLES_EQUAL(0.2, valueOf(settings).rollouts->maxExposure, 0);
+    CHECK(valueOf(settings).rollouts->rollbackTime == std::chrono::seconds{4});
 }
 
 // Guards against error messages that do not show the rejected value.
--- a/tests/system/spacefleet.cpp
+++ b/tests/system/spacefleet.cpp
@@ -99,6 +99,7 @@
     m_endpointPorts[id] = announcedPort(*m_endpoints[id]);
     m_endpointSlots[id] = slots;
     m_endpointServices[id] = service;
+    m_endpointVersions[id] = m_version;
     store("POST", "/api/objects/servers", endpointEntry(id, "ready"));
 }
 
@@ -107,7 +108,21 @@
     return R"({"metadata":{"name":")" + id + R"("},"spec":{"service":")" + m_endpointServices[id]
             + R"(","address":")" + address(m_endpointPorts[id]) + R"(","zone":"east-a","slots":)"
             + std::to_string(m_endpointSlots[id]) + R"(,"state":")" + state
-            + R"(","cold_left_ms":0}})";
+            + R"(","cold_left_ms":0,"version":")" + m_endpointVersions[id] + R"("}})";
+}
+
+void SpaceFleet::writeRollout(const std::string &service, const std::string &spec)
+{
+    store("POST", "/api/objects/rollouts",
+          R"({"metadata":{"name":")" + service + R"("},"spec":)" + spec + "}");
+}
+
+void SpaceFleet::orderRollout(const std::string &service, const std::string &version,
+                              int durationSeconds)
+{
+    writeRollout(service,
+                 R"({"service":")" + service + R"(","to":")" + version + R"(","over_s":)"
+                         + std::to_string(durationSeconds) + "}");
 }
 
 void SpaceFleet::drainEndpoint(const std::string &id)
--- a/tests/system/spacefleet.h
+++ b/tests/system/spacefleet.h
@@ -29,6 +29,12 @@
     SpaceFleet(const SpaceFleet &) = delete;
     SpaceFleet &operator=(const SpaceFleet &) = delete;
 
+    /// The version with which further endpoints register.
+    void setVersion(const std::string &version) { m_version = version; }
+    /// Orders that the service's requests move to endpoints of the version.
+    void orderRollout(const std::string &service, const std::string &version, int durationSeconds);
+    /// Writes an order as it is.
+    void writeRollout(const std::string &service, const std::string &spec);
     /// Starts an endpoint and registers it for the service.
     void startEndpoint(const std::string &id, const std::vector<std::string> &arguments = {},
                        int slots = 4, const std::string &service = "chat");
@@ -109,6 +115,8 @@
     std::map<std::string, std::uint16_t> m_endpointPorts;
     std::map<std::string, int> m_endpointSlots;
     std::map<std::string, std::string> m_endpointServices;
+    std::map<std::string, std::string> m_endpointVersions;
+    std::string m_version = "v1";
     std::string m_batchService = "chat";
     /// Services by path prefix.
     std::map<std::string, std::string> m_batchRoutes;
