Room for peaks beside batch work, and endpoints of uneven speed

Cause: batch items that start between two waves of online requests are still running in the next one and are cut there, and an endpoint that is slower than others got as many requests.

Change: OnlinePeak remembers what the recent waves needed; items that have time leave that much free at each endpoint (setting room_for_peaks), urgent ones do not. EndpointSpeeds learns from answers how fast each endpoint's process is, shares it with peers inside the reports, and the choice weighs free slots with it (setting learn_speeds). Both are off without the settings.

--- a/src/fleet/endpointchoice.h
+++ b/src/fleet/endpointchoice.h
@@ -17,6 +17,8 @@
     EndpointUsage usage;
     bool isOtherDomain = false;
     bool isCold = false;
+    /// In relation to the mean of the service.
+    double speed = 1;
 };
 
 /// Chooses one of the candidates that are offered one after the other, at random in proportion to
--- a/src/fleet/endpointpool.cpp
+++ b/src/fleet/endpointpool.cpp
@@ -55,13 +55,14 @@
     if (!isNew && found->second.endpoint.startedAt != endpoint.startedAt) {
         // Another process has registered under the same id, so the state of the previous one is
         // invalid.
+        m_speeds.forget(found->second.speedKey);
         m_entries.erase(found);
         isNew = true;
     }
     const auto position =
             m_entries
                     .try_emplace(endpoint.id,
-                                 Entry{endpoint, {}, {}, {}, {}, {}, {}, {}, false, {}})
+                                 Entry{endpoint, {}, {}, {}, {}, {}, {}, {}, false, {}, {}})
                     .first;
     Entry &entry = position->second;
     entry.isLeaving = m_leaving.contains({endpoint.id, endpoint.startedAt});
@@ -69,6 +70,7 @@
             || entry.endpoint.address != endpoint.address;
     const bool isOtherVersion = isChanged || entry.endpoint.version != endpoint.version;
     entry.endpoint = endpoint;
+    entry.speedKey = EndpointSpeeds::keyOf(endpoint);
     if (isOtherVersion)
         assignVersionRoles(endpoint.service, now);
     if (isNew) {
@@ -85,7 +87,19 @@
 
 void EndpointPool::remove(const std::string &id)
 {
-    m_entries.erase(id);
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    m_speeds.forget(found->second.speedKey);
+    m_entries.erase(found);
+}
+
+void EndpointPool::recordAnswer(const EndpointAnswer &answer)
+{
+    const auto found = m_entries.find(answer.endpoint.id);
+    if (m_learnsSpeeds && found != m_entries.end()
+        && found->second.speedKey == EndpointSpeeds::keyOf(answer.endpoint))
+        m_speeds.record(answer);
 }
 
 std::vector<std::string> EndpointPool::ids() const
@@ -314,8 +328,9 @@
 EndpointCandidate EndpointPool::candidate(const Entry &entry, const PlacementRequest &request,
                                           SteadyTime now) const
 {
-    return {entry.endpoint.id, entry.endpoint.slots, entry.total(),
-            entry.endpoint.failureDomain != request.failureDomain, isCold(entry, now)};
+    return {entry.endpoint.id,  entry.endpoint.slots,
+            entry.total(),      entry.endpoint.failureDomain != request.failureDomain,
+            isCold(entry, now), m_learnsSpeeds ? m_speeds.speed(entry.speedKey) : 1};
 }
 
 std::optional<Placement> EndpointPool::placeOnline(const PlacementRequest &request,
@@ -374,7 +389,7 @@
     const Entry *best = nullptr;
     EndpointChoice choice(request.key, m_usageAge);
     for (const auto &[id, entry] : m_entries) {
-        if (entry.versionRole != role)
+        if (entry.versionRole != role || entry.total().batch >= margin.maxBatch)
             continue;
         const EndpointCandidate offered = candidate(entry, request, now);
         const int wanted = offered.isOtherDomain ? margin.otherDomain : margin.sameDomain;
--- a/src/fleet/endpointpool.h
+++ b/src/fleet/endpointpool.h
@@ -6,6 +6,7 @@
 #include "fleet/coldstartlimiter.h"
 #include "fleet/endpointchoice.h"
 #include "fleet/endpointhealth.h"
+#include "fleet/endpointspeeds.h"
 #include "fleet/endpointusage.h"
 #include "fleet/fleetendpoint.h"
 #include "fleet/leavingendpoints.h"
@@ -61,6 +62,12 @@
     void setUsageAge(const UsageAge &age) { m_usageAge = age; }
     const UsageAge &usageAge() const { return m_usageAge; }
 
+    /// Endpoints that have shown to be faster than the others get more of the requests.
+    void learnSpeeds() { m_learnsSpeeds = true; }
+    /// Takes the pace of an answer into account.
+    void recordAnswer(const EndpointAnswer &answer);
+    EndpointSpeeds &speeds() { return m_speeds; }
+
     /// Rollouts of versions may come; see VersionRoles::enable().
     void enableRollouts(std::chrono::milliseconds newVersionHold);
     /// Sets which versions the services' requests go to, by service.
@@ -144,6 +151,7 @@
         /// The endpoint has announced that it leaves.
         bool isLeaving = false;
         VersionRole versionRole = VersionRole::Unrestricted;
+        std::uint64_t speedKey = 0;
 
         void setPeerUsage(const std::string &peer, const EndpointUsage &usage);
         EndpointUsage total() const;
@@ -178,6 +186,8 @@
     BatchTurns m_batchTurns;
     LeavingEndpoints m_leaving;
     VersionRoles m_versions;
+    EndpointSpeeds m_speeds;
+    bool m_learnsSpeeds = false;
 };
 
 } // namespace pistachiofall
--- a/src/fleet/itemorder.cpp
+++ b/src/fleet/itemorder.cpp
@@ -10,6 +10,10 @@
 constexpr double FinishedWeight = 0.1;
 // An item that is longer than the mean is taken to have at least this part of the mean left.
 constexpr double MinRemainingPart = 0.1;
+// An item is urgent when it could not run this often again before it is due, with the slack for
+// the time that it waits for a slot.
+constexpr int UrgentRuns = 2;
+constexpr std::chrono::milliseconds UrgentSlack{2000};
 
 } // namespace
 
@@ -31,6 +35,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_meanTimePerEvent * left);
 }
 
+bool ItemOrder::isUrgent(const ItemRank &rank, SteadyTime now)
+{
+    const auto slack = rank.due - now - rank.remaining;
+    return !rank.isLate && slack < rank.remaining * UrgentRuns + UrgentSlack;
+}
+
 ItemRank ItemOrder::rank(SteadyTime due, std::uint64_t eventsDone, SteadyTime now) const
 {
     const auto remaining = expectedRemaining(eventsDone);
--- a/src/fleet/itemorder.h
+++ b/src/fleet/itemorder.h
@@ -41,6 +41,9 @@
 
     ItemRank rank(SteadyTime due, std::uint64_t eventsDone, SteadyTime now) const;
 
+    /// Whether an item of that rank must start soon to be in time even if it is interrupted once.
+    static bool isUrgent(const ItemRank &rank, SteadyTime now);
+
 private:
     double m_meanEvents = 0;
     std::chrono::duration<double, std::milli> m_meanTimePerEvent{0};
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <set>
 #include <string>
 
@@ -26,6 +27,9 @@
     std::uint64_t batchTurn = 0;
     /// Slots that a batch item leaves free beyond the margin, because others go before it.
     int extraMargin = 0;
+    /// A batch item that would miss its due time if it waited longer. It takes any free slot beyond
+    /// the margin; others leave room for the next peak of online requests, too.
+    bool isUrgent = false;
 };
 
 /// The slots that batch items leave free at each endpoint. Other instances may use an endpoint of
@@ -34,6 +38,8 @@
 {
     int sameDomain = 0;
     int otherDomain = 0;
+    /// The batch items that may run at an endpoint.
+    int maxBatch = std::numeric_limits<int>::max();
 };
 
 /// How long ago the usage of endpoints by other instances was reported, at most, by the failure
--- a/src/serving/itemqueues.cpp
+++ b/src/serving/itemqueues.cpp
@@ -1,6 +1,7 @@
 #include "serving/itemqueues.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace pistachiofall {
@@ -24,10 +25,17 @@
 {
     for (auto &[service, queue] : m_queues) {
         std::make_heap(queue.begin(), queue.end(), isBehind);
-        while (!queue.empty() && start(queue.front()) == Start::Done) {
+        std::vector<QueuedItem> held;
+        while (!queue.empty()) {
+            const Start outcome = start(queue.front());
+            if (outcome == Start::NoSlot)
+                break;
             std::pop_heap(queue.begin(), queue.end(), isBehind);
+            if (outcome == Start::NotNow)
+                held.push_back(std::move(queue.back()));
             queue.pop_back();
         }
+        std::move(held.begin(), held.end(), std::back_inserter(queue));
     }
 }
 
--- a/src/serving/itemqueues.h
+++ b/src/serving/itemqueues.h
@@ -33,12 +33,16 @@
         Done,
         /// The service of the item has no free slot.
         NoSlot,
+        /// There are free slots, but they are kept for items that are more urgent and for online
+        /// requests.
+        NotNow,
     };
 
     void add(const std::string &service, QueuedItem item);
 
     /// Offers the items of each service in the order of their ranks, the lowest first, up to the
-    /// first one for which there is no slot. That one and those behind it stay queued.
+    /// first one for which there is no slot. That one and those behind it stay queued, and so do
+    /// those that may not start now.
     void startItems(const std::function<Start(const QueuedItem &item)> &start);
 
     /// The number of queued items by service; without those that have none.
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -131,6 +131,7 @@
         return;
     m_isStartingItems = true;
     giveUpItems();
+    m_heldServices.clear();
     ItemQueues queues = pendingItems();
     queues.startItems([this](const QueuedItem &item) { return startItem(item); });
     m_waitingItems = queues.counts();
@@ -228,9 +229,16 @@
     request.previousEndpoint = progress.previousEndpoint;
     request.batchTurn = batchTurn();
     request.extraMargin = item.rank.isLate ? ExtraMarginOfLateItems : 0;
+    request.isUrgent = ItemOrder::isUrgent(item.rank, m_dependencies.clock.now());
+    if (!request.isUrgent && m_heldServices.contains(request.service))
+        return ItemQueues::Start::NotNow;
     auto placement = m_dependencies.scheduler.tryAcquireBatch(request);
-    if (!placement)
+    if (!placement && request.isUrgent)
         return ItemQueues::Start::NoSlot;
+    if (!placement) {
+        m_heldServices.insert(request.service);
+        return ItemQueues::Start::NotNow;
+    }
     progress.state = ItemProgress::State::Running;
     progress.endpoint = placement->endpoint.id;
     progress.isPreempted = false;
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -123,6 +124,8 @@
     std::map<std::string, Gauge *> m_waitingGauges;
     bool m_isStopping = false;
     bool m_isStartingItems = false;
+    /// The services whose items that are not urgent have found no slot in this round.
+    std::set<std::string> m_heldServices;
 };
 
 } // namespace pistachiofall
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds InitialMeanHold{500};
 // The weight of a new hold time in the moving average.
 constexpr double MeanHoldWeight = 0.05;
+// A wave of online requests lasts longer.
+constexpr milliseconds PeakRecordInterval{100};
 // After a restart of endpoints or of this instance, endpoints appear within about this time.
 constexpr milliseconds NoEndpointRetryAfter{500};
 
@@ -144,7 +146,7 @@
     const ServiceLoad current = load(request.service);
     if (current.waiting > 0)
         return std::nullopt;
-    const FreeSlotMargin margin = batchMargin(request.service, current);
+    const FreeSlotMargin margin = batchMargin(request, current);
     m_metrics.gauge("batch_margin_slots", {{"service", request.service}}).set(margin.sameDomain);
     auto placement = m_board.placeBatch(request, margin, now);
     if (!placement) {
@@ -156,16 +158,36 @@
     return placement;
 }
 
-FreeSlotMargin Scheduler::batchMargin(const std::string &service, const ServiceLoad &load) const
+FreeSlotMargin Scheduler::batchMargin(const PlacementRequest &request,
+                                      const ServiceLoad &load) const
 {
     const auto now = m_clock.now();
+    const std::string &service = request.service;
     const OnlineLoad online{load.slots - load.freeSlots + load.waiting,
                             m_board.endpointCount(service), load.meanServiceTime};
     const auto found = m_batchMargins.find(service);
     const BatchMargin margin = found == m_batchMargins.end() ? BatchMargin() : found->second;
     const UsageAge &age = m_board.usageAge();
-    return {margin.slotsToLeaveFree(online, age.sameDomain, now),
-            margin.slotsToLeaveFree(online, age.otherDomain, now)};
+    FreeSlotMargin free{margin.slotsToLeaveFree(online, age.sameDomain, now),
+                        margin.slotsToLeaveFree(online, age.otherDomain, now)};
+    const auto peak = m_onlinePeaks.find(service);
+    if (m_leavesRoomForPeaks && !request.isUrgent && peak != m_onlinePeaks.end()
+        && online.endpoints > 0)
+        free.maxBatch = batchSlotsBesidePeak(load.slots / online.endpoints, peak->second.value(now),
+                                             online.endpoints);
+    return free;
+}
+
+void Scheduler::recordPeaks()
+{
+    const auto now = m_clock.now();
+    if (!m_leavesRoomForPeaks || now < m_nextPeakRecord)
+        return;
+    m_nextPeakRecord = now + PeakRecordInterval;
+    for (const auto &[service, hold] : m_meanHold) {
+        const ServiceLoad current = load(service);
+        m_onlinePeaks[service].record(current.slots - current.freeSlots + current.waiting, now);
+    }
 }
 
 void Scheduler::release(const std::string &endpoint, const std::string &service,
@@ -209,6 +231,7 @@
 void Scheduler::runUpdate()
 {
     m_isUpdatePending = false;
+    recordPeaks();
     dispatch();
     preemptWhereFull();
     m_callbacks.capacityChanged();
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -4,6 +4,7 @@
 #include "fleet/admission.h"
 #include "fleet/batchmargin.h"
 #include "fleet/endpointpool.h"
+#include "fleet/onlinepeak.h"
 #include "fleet/requestqueue.h"
 #include "metrics/metricsregistry.h"
 #include "serving/disconnectsignal.h"
@@ -60,6 +61,8 @@
     Scheduler &operator=(const Scheduler &) = delete;
 
     void setCallbacks(Callbacks callbacks);
+    /// Batch items that are not urgent leave room for the recent peak of online requests.
+    void leaveRoomForPeaks() { m_leavesRoomForPeaks = true; }
 
     /// Waits for a slot, which counts as used until release(). Returns a refusal if no endpoint is
     /// available, the queue is too long for the objective, the deadline passes or the caller
@@ -99,7 +102,8 @@
     void dispatch();
     void refuseWaiting(const std::string &service);
     void preemptWhereFull();
-    FreeSlotMargin batchMargin(const std::string &service, const ServiceLoad &load) const;
+    FreeSlotMargin batchMargin(const PlacementRequest &request, const ServiceLoad &load) const;
+    void recordPeaks();
     std::chrono::milliseconds meanHold(const std::string &service) const;
 
     boost::asio::any_io_executor m_executor;
@@ -112,6 +116,9 @@
     std::map<std::string, std::map<std::string, int>> m_peerQueues;
     std::map<std::string, std::chrono::duration<double>> m_meanHold;
     std::map<std::string, BatchMargin> m_batchMargins;
+    std::map<std::string, OnlinePeak> m_onlinePeaks;
+    bool m_leavesRoomForPeaks = false;
+    SteadyTime m_nextPeakRecord{};
     std::uint64_t m_nextId = 1;
     boost::asio::steady_timer m_updateTimer;
     bool m_isUpdatePending = false;
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -18,6 +18,7 @@
 #include "serving/leavingnotices.h"
 #include "serving/promptguard.h"
 #include "serving/rolloutdirector.h"
+#include "serving/speedreports.h"
 #include "serving/storewatchers.h"
 #include "settings/loadfleetsettings.h"
 #include "wire/body.h"
@@ -142,6 +143,7 @@
     PromptGuard promptGuard;
     LeavingNotices leavingNotices;
     AnswerObservers answers;
+    SpeedReports speedReports;
     FleetPeers peers;
     ConfigHolder config;
     const std::shared_ptr<EndpointClient> client;
@@ -175,6 +177,7 @@
     , scheduler(context.get_executor(), clock, board, metrics)
     , promptGuard(clock, log, metrics)
     , leavingNotices(clock, log, metrics, *protocol, board)
+    , speedReports(clock, board.speeds())
     , peers(context.get_executor(), clock, log, metrics, peerFromSettings(settings),
             randomIncarnation())
     , config(*protocol, log, [this](const ServingConfig::Ptr &newest) { configChanged(newest); })
@@ -211,6 +214,12 @@
         return errorOf(created);
     space = std::make_shared<GuardedSpace>(valueOf(std::move(created)), clock, log, metrics);
     quotas.setSlack(settings.quotaSlack);
+    if (settings.leavesRoomForPeaks)
+        scheduler.leaveRoomForPeaks();
+    if (settings.learnsSpeeds) {
+        board.learnSpeeds();
+        answers.add([this](const EndpointAnswer &answer) { board.recordAnswer(answer); });
+    }
     createServices();
     if (settings.rollouts)
         createRollouts();
@@ -376,6 +385,7 @@
     leavingNotices.handleReport(peer, report);
     if (rollouts)
         rollouts->handleReport(peer, report);
+    speedReports.handleReport(peer, report);
     std::map<std::string, EndpointUsage> use;
     for (const auto &each : report.endpoints)
         use[each->endpoint] = {each->online, each->batch};
@@ -428,6 +438,8 @@
     leavingNotices.fillReport(report);
     if (rollouts)
         rollouts->fillReport(peer, report);
+    if (settings.learnsSpeeds)
+        speedReports.fillReport(peer, peers.memberNames().size(), report);
     for (const auto &[id, use] : board.localUsage()) {
         auto entry = std::make_unique<wire::EndpointUseT>();
         entry->endpoint = id;
--- a/src/settings/fleetsettings.h
+++ b/src/settings/fleetsettings.h
@@ -45,6 +45,10 @@
     /// How long an endpoint whose entry expired during a store outage may be missing after the
     /// store is available again.
     std::chrono::milliseconds lapsedEntryGrace{2000};
+    /// Whether batch items leave room for the recent peak of online requests while they have time.
+    bool leavesRoomForPeaks = false;
+    /// Whether endpoints that are faster than others get more of the requests.
+    bool learnsSpeeds = false;
     /// The bounds on rollouts of versions. Without them the instance takes no orders for rollouts.
     std::optional<RolloutBounds> rollouts = std::nullopt;
 };
--- a/src/settings/loadfleetsettings.cpp
+++ b/src/settings/loadfleetsettings.cpp
@@ -107,6 +107,8 @@
     fleet.milliseconds("stop_grace_ms", 100, MaxMilliseconds, settings.stopGrace);
     fleet.milliseconds("change_bound_ms", 100, MaxMilliseconds, settings.changeBound);
     fleet.milliseconds("lapsed_entry_grace_ms", 0, MaxMilliseconds, settings.lapsedEntryGrace);
+    fleet.boolean("room_for_peaks", settings.leavesRoomForPeaks);
+    fleet.boolean("learn_speeds", settings.learnsSpeeds);
     fleet.rejectUnknownKeys();
     if (!errors.isEmpty())
         return errors.toError();
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -158,6 +158,8 @@
 struct RolloutViewBuilder;
 struct RolloutViewT;
 
+struct EndpointPace;
+
 struct FleetReport;
 struct FleetReportBuilder;
 struct FleetReportT;
@@ -1255,6 +1257,45 @@
   using type = EndpointAnswers;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) EndpointPace FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t endpoint_;
+  uint16_t count_;
+  int16_t logRatioPerThousand_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  EndpointPace()
+      : endpoint_(0),
+        count_(0),
+        logRatioPerThousand_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  EndpointPace(uint64_t _endpoint, uint16_t _count, int16_t _logRatioPerThousand)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        count_(flatbuffers::EndianScalar(_count)),
+        logRatioPerThousand_(flatbuffers::EndianScalar(_logRatioPerThousand)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint16_t count() const {
+    return flatbuffers::EndianScalar(count_);
+  }
+  int16_t logRatioPerThousand() const {
+    return flatbuffers::EndianScalar(logRatioPerThousand_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EndpointPace, 16);
+
+struct EndpointPace::Traits {
+  using type = EndpointPace;
+};
+
 struct PingT : public flatbuffers::NativeTable {
   typedef Ping TableType;
 };
@@ -4425,6 +4466,7 @@
   std::vector<std::unique_ptr<pistachiofall::wire::ServiceQueueT>> itemQueues{};
   std::unique_ptr<pistachiofall::wire::WatchMark> rolloutMark{};
   std::vector<std::unique_ptr<pistachiofall::wire::RolloutViewT>> rollouts{};
+  std::vector<pistachiofall::wire::EndpointPace> paces{};
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4455,7 +4497,8 @@
     VT_OWNEDJOBS = 36,
     VT_ITEMQUEUES = 38,
     VT_ROLLOUTMARK = 40,
-    VT_ROLLOUTS = 42
+    VT_ROLLOUTS = 42,
+    VT_PACES = 44
   };
   const pistachiofall::wire::FleetMember *sender() const {
     return GetPointer<const pistachiofall::wire::FleetMember *>(VT_SENDER);
@@ -4517,6 +4560,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>> *rollouts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>> *>(VT_ROLLOUTS);
   }
+  const flatbuffers::Vector<const pistachiofall::wire::EndpointPace *> *paces() const {
+    return GetPointer<const flatbuffers::Vector<const pistachiofall::wire::EndpointPace *> *>(VT_PACES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -4555,6 +4601,8 @@
            VerifyOffset(verifier, VT_ROLLOUTS) &&
            verifier.VerifyVector(rollouts()) &&
            verifier.VerifyVectorOfTables(rollouts()) &&
+           VerifyOffset(verifier, VT_PACES) &&
+           verifier.VerifyVector(paces()) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4626,6 +4674,9 @@
   void add_rollouts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>>> rollouts) {
     fbb_.AddOffset(FleetReport::VT_ROLLOUTS, rollouts);
   }
+  void add_paces(flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointPace *>> paces) {
+    fbb_.AddOffset(FleetReport::VT_PACES, paces);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4658,11 +4709,13 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ownedJobs = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> itemQueues = 0,
     const pistachiofall::wire::WatchMark *rolloutMark = nullptr,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>>> rollouts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>>> rollouts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointPace *>> paces = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configVersion(configVersion);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_paces(paces);
   builder_.add_rollouts(rollouts);
   builder_.add_rolloutMark(rolloutMark);
   builder_.add_itemQueues(itemQueues);
@@ -4709,7 +4762,8 @@
     const std::vector<uint64_t> *ownedJobs = nullptr,
     const std::vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *itemQueues = nullptr,
     const pistachiofall::wire::WatchMark *rolloutMark = nullptr,
-    const std::vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>> *rollouts = nullptr) {
+    const std::vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>> *rollouts = nullptr,
+    const std::vector<pistachiofall::wire::EndpointPace> *paces = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>>(*organisations) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*queues) : 0;
@@ -4718,6 +4772,7 @@
   auto ownedJobs__ = ownedJobs ? _fbb.CreateVector<uint64_t>(*ownedJobs) : 0;
   auto itemQueues__ = itemQueues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*itemQueues) : 0;
   auto rollouts__ = rollouts ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::RolloutView>>(*rollouts) : 0;
+  auto paces__ = paces ? _fbb.CreateVectorOfStructs<pistachiofall::wire::EndpointPace>(*paces) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       sender,
@@ -4739,7 +4794,8 @@
       ownedJobs__,
       itemQueues__,
       rolloutMark,
-      rollouts__);
+      rollouts__,
+      paces__);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6810,7 +6866,8 @@
         evacuationMark((o.evacuationMark) ? new pistachiofall::wire::WatchMark(*o.evacuationMark) : nullptr),
         waitingItems(o.waitingItems),
         ownedJobs(o.ownedJobs),
-        rolloutMark((o.rolloutMark) ? new pistachiofall::wire::WatchMark(*o.rolloutMark) : nullptr) {
+        rolloutMark((o.rolloutMark) ? new pistachiofall::wire::WatchMark(*o.rolloutMark) : nullptr),
+        paces(o.paces) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new pistachiofall::wire::EndpointUseT(*endpoints_) : nullptr); }
   organisations.reserve(o.organisations.size());
@@ -6848,6 +6905,7 @@
   std::swap(itemQueues, o.itemQueues);
   std::swap(rolloutMark, o.rolloutMark);
   std::swap(rollouts, o.rollouts);
+  std::swap(paces, o.paces);
   return *this;
 }
 
@@ -6880,6 +6938,7 @@
   { auto _e = itemQueues(); if (_e) { _o->itemQueues.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->itemQueues[_i] = std::unique_ptr<pistachiofall::wire::ServiceQueueT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = rolloutMark(); if (_e) _o->rolloutMark = std::unique_ptr<pistachiofall::wire::WatchMark>(new pistachiofall::wire::WatchMark(*_e)); }
   { auto _e = rollouts(); if (_e) { _o->rollouts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rollouts[_i] = std::unique_ptr<pistachiofall::wire::RolloutViewT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = paces(); if (_e) { _o->paces.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->paces[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6910,6 +6969,7 @@
   auto _itemQueues = _o->itemQueues.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> (_o->itemQueues.size(), [](size_t i, _VectorArgs *__va) { return CreateServiceQueue(*__va->__fbb, __va->__o->itemQueues[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _rolloutMark = _o->rolloutMark ? _o->rolloutMark.get() : nullptr;
   auto _rollouts = _o->rollouts.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::RolloutView>> (_o->rollouts.size(), [](size_t i, _VectorArgs *__va) { return CreateRolloutView(*__va->__fbb, __va->__o->rollouts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _paces = _o->paces.size() ? _fbb.CreateVectorOfStructs(_o->paces) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       _sender,
@@ -6931,7 +6991,8 @@
       _ownedJobs,
       _itemQueues,
       _rolloutMark,
-      _rollouts);
+      _rollouts,
+      _paces);
 }
 
 inline FleetReportReplyT::FleetReportReplyT(const FleetReportReplyT &o)
