Summaries of a failure domain's usage in reports to the others

As all instances of a failure domain send it in turns, the others know it a few times each 100 ms, without a further message (setting summarise_usage).

--- a/src/fleet/endpointpool.cpp
+++ b/src/fleet/endpointpool.cpp
@@ -15,6 +15,11 @@
 // Two report intervals of a peer in the same failure domain.
 constexpr std::chrono::milliseconds BatchDelayAfterFull{100};
 
+std::uint32_t markOf(std::uint64_t key)
+{
+    return static_cast<std::uint32_t>(key);
+}
+
 } // namespace
 
 EndpointUsage EndpointPool::Entry::total() const
@@ -22,21 +27,30 @@
     return {local.online + peerTotal.online, local.batch + peerTotal.batch};
 }
 
-void EndpointPool::Entry::setPeerUsage(const std::string &peer, const EndpointUsage &usage)
+void EndpointPool::Entry::setPeerUsage(const std::string &peer, std::size_t domain,
+                                       const EndpointUsage &usage)
 {
+    if (reported.size() <= domain)
+        reported.resize(domain + 1);
     const auto found = peers.find(peer);
-    if (found != peers.end()) {
-        peerTotal.online -= found->second.online;
-        peerTotal.batch -= found->second.batch;
-    }
-    peerTotal.online += usage.online;
-    peerTotal.batch += usage.batch;
+    if (found != peers.end())
+        reported[domain] -= found->second;
+    reported[domain] += usage;
     if (usage.total() == 0 && found != peers.end())
         peers.erase(found);
     else if (usage.total() > 0)
         peers[peer] = usage;
 }
 
+void EndpointPool::Entry::sumPeers(const DomainUsage &domains)
+{
+    reported.resize(domains.count());
+    summarised.resize(domains.count());
+    peerTotal = {};
+    for (std::size_t domain = 0; domain < domains.count(); ++domain)
+        peerTotal += domains.isSummarised(domain) ? summarised[domain] : reported[domain];
+}
+
 bool EndpointPool::Entry::isFull() const
 {
     return total().total() >= endpoint.slots;
@@ -55,30 +69,28 @@
     if (!isNew && found->second.endpoint.startedAt != endpoint.startedAt) {
         // Another process has registered under the same id, so the state of the previous one is
         // invalid.
-        m_speeds.forget(found->second.speedKey);
-        m_entries.erase(found);
+        remove(endpoint.id);
         isNew = true;
     }
-    const auto position =
-            m_entries
-                    .try_emplace(endpoint.id,
-                                 Entry{endpoint, {}, {}, {}, {}, {}, {}, {}, false, {}, {}})
-                    .first;
-    Entry &entry = position->second;
+    Entry &entry = m_entries.try_emplace(endpoint.id, endpoint).first->second;
     entry.isLeaving = m_leaving.contains({endpoint.id, endpoint.startedAt});
     const bool isChanged = isNew || entry.endpoint.isDraining != endpoint.isDraining
             || entry.endpoint.address != endpoint.address;
     const bool isOtherVersion = isChanged || entry.endpoint.version != endpoint.version;
     entry.endpoint = endpoint;
     entry.speedKey = EndpointSpeeds::keyOf(endpoint);
+    Entry *&marked = m_entriesByMark.try_emplace(markOf(entry.speedKey), &entry).first->second;
+    if (marked != &entry)
+        marked = nullptr;
     if (isOtherVersion)
         assignVersionRoles(endpoint.service, now);
     if (isNew) {
         for (const auto &[peer, usages] : m_peerUsage) {
             const auto usage = usages.find(endpoint.id);
             if (usage != usages.end())
-                entry.setPeerUsage(peer, usage->second);
+                entry.setPeerUsage(peer, domainOf(peer), usage->second);
         }
+        entry.sumPeers(m_domains);
     }
     if (endpoint.coldRemaining.count() > 0 && now + endpoint.coldRemaining > entry.coldUntil)
         markCold(entry, endpoint.coldRemaining, now);
@@ -91,6 +103,7 @@
     if (found == m_entries.end())
         return;
     m_speeds.forget(found->second.speedKey);
+    m_entriesByMark.erase(markOf(found->second.speedKey));
     m_entries.erase(found);
 }
 
@@ -199,21 +212,81 @@
 void EndpointPool::setPeerUsage(const std::string &peer, std::map<std::string, EndpointUsage> usage,
                                 SteadyTime now)
 {
+    const std::size_t domain = domainOf(peer);
     for (auto &[id, entry] : m_entries) {
         if (entry.isFull())
             entry.lastFull = now;
         const auto found = usage.find(id);
-        entry.setPeerUsage(peer, found == usage.end() ? EndpointUsage{} : found->second);
+        entry.setPeerUsage(peer, domain, found == usage.end() ? EndpointUsage{} : found->second);
+        entry.sumPeers(m_domains);
     }
     m_peerUsage[peer] = std::move(usage);
 }
 
+void EndpointPool::setPeerDomain(const std::string &peer, const std::string &failureDomain)
+{
+    const std::size_t domain = m_domains.indexOf(failureDomain);
+    if (domainOf(peer) == domain)
+        return;
+    removePeer(peer);
+    m_peerDomains[peer] = domain;
+}
+
+std::size_t EndpointPool::domainOf(const std::string &peer)
+{
+    const auto found = m_peerDomains.find(peer);
+    return found == m_peerDomains.end() ? m_domains.indexOf({}) : found->second;
+}
+
+void EndpointPool::sumAllPeers()
+{
+    for (auto &[id, entry] : m_entries)
+        entry.sumPeers(m_domains);
+}
+
+void EndpointPool::setDomainUsage(const std::string &failureDomain, int instances,
+                                  const std::vector<DomainUsageMark> &usage, SteadyTime now)
+{
+    const std::size_t domain = m_domains.indexOf(failureDomain);
+    if (!m_domains.accept(domain, instances, now))
+        return;
+    for (auto &[id, entry] : m_entries) {
+        if (entry.isFull())
+            entry.lastFull = now;
+        entry.sumPeers(m_domains);
+        entry.summarised[domain] = {};
+    }
+    for (const DomainUsageMark &mark : usage) {
+        const auto found = m_entriesByMark.find(mark.endpoint);
+        if (found != m_entriesByMark.end() && found->second != nullptr)
+            found->second->summarised[domain] = mark.usage;
+    }
+    sumAllPeers();
+}
+
+std::vector<DomainUsageMark> EndpointPool::usageByDomain(const std::string &failureDomain)
+{
+    const std::size_t domain = m_domains.indexOf(failureDomain);
+    std::vector<DomainUsageMark> marks;
+    for (auto &[id, entry] : m_entries) {
+        EndpointUsage usage = entry.local;
+        if (domain < entry.reported.size())
+            usage += entry.reported[domain];
+        if (usage.total() > 0)
+            marks.push_back({markOf(entry.speedKey), usage});
+    }
+    return marks;
+}
+
 void EndpointPool::removePeer(const std::string &peer)
 {
     m_peerUsage.erase(peer);
     m_batchTurns.remove(peer);
-    for (auto &[id, entry] : m_entries)
-        entry.setPeerUsage(peer, {});
+    const std::size_t domain = domainOf(peer);
+    for (auto &[id, entry] : m_entries) {
+        entry.setPeerUsage(peer, domain, {});
+        entry.sumPeers(m_domains);
+    }
 }
 
 bool EndpointPool::isInService(const Entry &entry) const
@@ -275,6 +348,8 @@
 void EndpointPool::removeExpired(SteadyTime now)
 {
     m_leaving.removeExpired(now);
+    if (m_domains.expire(now))
+        sumAllPeers();
     if (m_versions.isEnabled())
         assignAllVersionRoles(now);
 }
--- a/src/fleet/endpointpool.h
+++ b/src/fleet/endpointpool.h
@@ -4,6 +4,7 @@
 #include "coord/workclass.h"
 #include "fleet/batchturns.h"
 #include "fleet/coldstartlimiter.h"
+#include "fleet/domainusage.h"
 #include "fleet/endpointchoice.h"
 #include "fleet/endpointhealth.h"
 #include "fleet/endpointspeeds.h"
@@ -88,6 +89,14 @@
     void setPeerUsage(const std::string &peer, std::map<std::string, EndpointUsage> usage,
                       SteadyTime now);
     void removePeer(const std::string &peer);
+    /// Sets the failure domain of a peer, before its usage.
+    void setPeerDomain(const std::string &peer, const std::string &failureDomain);
+    /// Replaces the usage by all instances of another failure domain, as one of them knows it.
+    /// While such summaries come, they count in place of the reports of its single instances.
+    void setDomainUsage(const std::string &failureDomain, int instances,
+                        const std::vector<DomainUsageMark> &usage, SteadyTime now);
+    /// The usage by this instance and by its peers in the failure domain given, by their reports.
+    std::vector<DomainUsageMark> usageByDomain(const std::string &failureDomain);
     /// Replaces the numbers of batch items that wait at a peer, by service.
     void setPeerWaitingItems(const std::string &peer,
                              const std::map<std::string, std::uint32_t> &items, bool isSameDomain)
@@ -138,14 +147,21 @@
 private:
     struct Entry
     {
+        explicit Entry(const FleetEndpoint &registered)
+            : endpoint(registered)
+        { }
+
         FleetEndpoint endpoint;
         EndpointUsage local;
         EndpointHealth health;
         SteadyTime coldUntil{};
         std::optional<ColdStartLimiter> coldStartLimiter;
         std::map<std::string, EndpointUsage> peers;
-        /// The sum of all peers, which is maintained because each choice reads all endpoints while
-        /// a peer's report changes only a few.
+        /// The sums of the peers' reports and the summaries, by the index of the failure domain.
+        std::vector<EndpointUsage> reported;
+        std::vector<EndpointUsage> summarised;
+        /// The usage by all peers, which is maintained because each choice reads all endpoints
+        /// while a peer's report changes only a few.
         EndpointUsage peerTotal;
         SteadyTime lastFull{};
         /// The endpoint has announced that it leaves.
@@ -153,7 +169,8 @@
         VersionRole versionRole = VersionRole::Unrestricted;
         std::uint64_t speedKey = 0;
 
-        void setPeerUsage(const std::string &peer, const EndpointUsage &usage);
+        void setPeerUsage(const std::string &peer, std::size_t domain, const EndpointUsage &usage);
+        void sumPeers(const DomainUsage &domains);
         EndpointUsage total() const;
         bool isFull() const;
     };
@@ -173,6 +190,8 @@
     bool isUsable(const Entry &entry, const PlacementRequest &request, SteadyTime now) const;
     bool isCold(const Entry &entry, SteadyTime now) const;
     void markCold(Entry &entry, std::chrono::milliseconds period, SteadyTime now);
+    std::size_t domainOf(const std::string &peer);
+    void sumAllPeers();
     double coldRate(const std::string &service) const;
     bool mayStartBatch(const Entry &entry, const PlacementRequest &request, SteadyTime now) const;
 
@@ -181,6 +200,10 @@
     ServingConfig::Ptr m_config;
     std::map<std::string, Entry> m_entries;
     std::map<std::string, std::map<std::string, EndpointUsage>> m_peerUsage;
+    std::map<std::string, std::size_t> m_peerDomains;
+    DomainUsage m_domains;
+    /// By the lower half of the key of the endpoint's process; null if two share it.
+    std::map<std::uint32_t, Entry *> m_entriesByMark;
     std::set<std::string> m_evacuated;
     UsageAge m_usageAge;
     BatchTurns m_batchTurns;
--- a/src/fleet/endpointusage.h
+++ b/src/fleet/endpointusage.h
@@ -9,6 +9,19 @@
     int batch = 0;
 
     int total() const { return online + batch; }
+
+    EndpointUsage &operator+=(const EndpointUsage &other)
+    {
+        online += other.online;
+        batch += other.batch;
+        return *this;
+    }
+    EndpointUsage &operator-=(const EndpointUsage &other)
+    {
+        online -= other.online;
+        batch -= other.batch;
+        return *this;
+    }
 };
 
 } // namespace pistachiofall
--- a/src/serving/fleetpeers.cpp
+++ b/src/serving/fleetpeers.cpp
@@ -4,6 +4,7 @@
 #include "wire/sleep.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -141,6 +142,35 @@
     return std::clamp<milliseconds>(interval, MinReportInterval, MaxReportInterval);
 }
 
+int FleetPeers::liveInDomain() const
+{
+    return 1
+            + static_cast<int>(
+                    std::count_if(m_members.begin(), m_members.end(), [this](const auto &each) {
+                        return each.second->isAlive && !isFar(each.first);
+                    }));
+}
+
+bool FleetPeers::isFar(const std::string &name) const
+{
+    const auto found = m_members.find(name);
+    return found != m_members.end() && found->second->peer.failureDomain != m_self.failureDomain;
+}
+
+// The other failure domains are taken to have the mean number of instances.
+milliseconds FleetPeers::summaryInterval() const
+{
+    std::set<std::string> domains;
+    for (const auto &[name, member] : m_members) {
+        if (isFar(name))
+            domains.insert(member->peer.failureDomain);
+    }
+    const auto far = static_cast<std::int64_t>(m_members.size()) - countSameDomain();
+    if (far == 0)
+        return farReportInterval();
+    return farReportInterval() * static_cast<std::int64_t>(domains.size()) / far;
+}
+
 void FleetPeers::addMember(const FleetPeer &peer)
 {
     if (peer.name == m_self.name)
--- a/src/serving/fleetpeers.h
+++ b/src/serving/fleetpeers.h
@@ -102,6 +102,13 @@
     bool hasPeerWithUptimeAbove(std::chrono::milliseconds uptime) const;
     /// The interval between two reports of a peer, by whether it is in the own failure domain.
     UsageAge reportIntervals() const { return {nearReportInterval(), farReportInterval()}; }
+    /// The number of live instances of the own failure domain, including this one.
+    int liveInDomain() const;
+    /// Whether the peer is in another failure domain; false if it is unknown.
+    bool isFar(const std::string &name) const;
+    /// The interval at which summaries of another failure domain come from all its instances
+    /// together.
+    std::chrono::milliseconds summaryInterval() const;
     std::optional<SocketAddress> addressOf(const std::string &name) const;
 
     PeerClient &client() { return m_client; }
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -88,6 +88,12 @@
     return queue;
 }
 
+std::uint8_t cappedCount(int count)
+{
+    return static_cast<std::uint8_t>(
+            std::clamp<int>(count, 0, std::numeric_limits<std::uint8_t>::max()));
+}
+
 FleetPeer peerFromSettings(const FleetSettings &settings)
 {
     return {settings.name, settings.peers, settings.failureDomain, settings.callers.has_value()};
@@ -116,6 +122,10 @@
     void peerLost(const std::string &peer, bool hasStopped);
     void fillReport(const std::string &peer, wire::FleetReportT &report);
     void createRollouts();
+    bool sendsSummaries() const;
+    UsageAge usageAge() const;
+    void fillUsage(const std::string &peer, wire::FleetReportT &report);
+    void takeUsage(const std::string &peer, const wire::FleetReportT &report);
     bool isFirstInstanceFor(PromptPart part) const;
     bool isReady() const;
     milliseconds storeAge() const;
@@ -371,7 +381,7 @@
 void ServingInstance::Data::membersChanged()
 {
     board.setInstances(peers.callerInstances());
-    board.setUsageAge(peers.reportIntervals());
+    board.setUsageAge(usageAge());
     for (const std::string &name : peers.callerInstances()) {
         if (name != settings.name)
             quotas.addPeer(name);
@@ -386,10 +396,7 @@
     if (rollouts)
         rollouts->handleReport(peer, report);
     speedReports.handleReport(peer, report);
-    std::map<std::string, EndpointUsage> use;
-    for (const auto &each : report.endpoints)
-        use[each->endpoint] = {each->online, each->batch};
-    board.setPeerUsage(peer, std::move(use), clock.now());
+    takeUsage(peer, report);
     std::map<std::string, std::uint32_t> requests;
     for (const auto &each : report.organisations)
         requests[each->organisation] = each->requests;
@@ -440,13 +447,7 @@
         rollouts->fillReport(peer, report);
     if (settings.learnsSpeeds)
         speedReports.fillReport(peer, peers.memberNames().size(), report);
-    for (const auto &[id, use] : board.localUsage()) {
-        auto entry = std::make_unique<wire::EndpointUseT>();
-        entry->endpoint = id;
-        entry->online = static_cast<std::uint16_t>(use.online);
-        entry->batch = static_cast<std::uint16_t>(use.batch);
-        report.endpoints.push_back(std::move(entry));
-    }
+    fillUsage(peer, report);
     for (const auto &[organisation, requests] : quotas.localUsage(clock.now())) {
         auto entry = std::make_unique<wire::OrganisationUseT>();
         entry->organisation = organisation;
@@ -457,6 +458,55 @@
         report.queues.push_back(encodeQueue(service, static_cast<std::size_t>(waiting)));
 }
 
+// In a small fleet the reports of single instances come as often as summaries would.
+bool ServingInstance::Data::sendsSummaries() const
+{
+    const UsageAge age = peers.reportIntervals();
+    return settings.summarisesUsage && age.otherDomain > age.sameDomain * 2;
+}
+
+UsageAge ServingInstance::Data::usageAge() const
+{
+    const UsageAge age = peers.reportIntervals();
+    if (!sendsSummaries())
+        return age;
+    return {age.sameDomain, std::min(age.otherDomain, age.sameDomain + peers.summaryInterval())};
+}
+
+void ServingInstance::Data::fillUsage(const std::string &peer, wire::FleetReportT &report)
+{
+    for (const auto &[id, use] : board.localUsage()) {
+        auto entry = std::make_unique<wire::EndpointUseT>();
+        entry->endpoint = id;
+        entry->online = static_cast<std::uint16_t>(use.online);
+        entry->batch = static_cast<std::uint16_t>(use.batch);
+        report.endpoints.push_back(std::move(entry));
+    }
+    if (!sendsSummaries() || !peers.isFar(peer))
+        return;
+    report.domainInstances = static_cast<std::uint16_t>(peers.liveInDomain());
+    for (const DomainUsageMark &mark : board.usageByDomain(settings.failureDomain))
+        report.domainUsage.emplace_back(mark.endpoint, cappedCount(mark.usage.online),
+                                        cappedCount(mark.usage.batch));
+}
+
+void ServingInstance::Data::takeUsage(const std::string &peer, const wire::FleetReportT &report)
+{
+    const std::string &domain = report.sender->failureDomain;
+    std::map<std::string, EndpointUsage> use;
+    for (const auto &each : report.endpoints)
+        use[each->endpoint] = {each->online, each->batch};
+    board.setPeerDomain(peer, domain);
+    board.setPeerUsage(peer, std::move(use), clock.now());
+    if (!settings.summarisesUsage || report.domainInstances == 0
+        || domain == settings.failureDomain)
+        return;
+    std::vector<DomainUsageMark> marks;
+    for (const wire::DomainUse &each : report.domainUsage)
+        marks.push_back({each.endpoint(), {each.online(), each.batch()}});
+    board.setDomainUsage(domain, report.domainInstances, marks, clock.now());
+}
+
 milliseconds ServingInstance::Data::storeAge() const
 {
     const auto newest = std::max(jobStore->lastResponse(), watchers->lastContact());
--- a/src/settings/fleetsettings.h
+++ b/src/settings/fleetsettings.h
@@ -49,6 +49,8 @@
     bool leavesRoomForPeaks = false;
     /// Whether endpoints that are faster than others get more of the requests.
     bool learnsSpeeds = false;
+    /// Whether reports to other failure domains carry the usage by the whole own one.
+    bool summarisesUsage = false;
     /// The bounds on rollouts of versions. Without them the instance takes no orders for rollouts.
     std::optional<RolloutBounds> rollouts = std::nullopt;
 };
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -160,6 +160,8 @@
 
 struct EndpointPace;
 
+struct DomainUse;
+
 struct FleetReport;
 struct FleetReportBuilder;
 struct FleetReportT;
@@ -1296,6 +1298,45 @@
   using type = EndpointPace;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) DomainUse FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t endpoint_;
+  uint8_t online_;
+  uint8_t batch_;
+  int16_t padding0__;
+
+ public:
+  struct Traits;
+  DomainUse()
+      : endpoint_(0),
+        online_(0),
+        batch_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  DomainUse(uint32_t _endpoint, uint8_t _online, uint8_t _batch)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        online_(flatbuffers::EndianScalar(_online)),
+        batch_(flatbuffers::EndianScalar(_batch)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint32_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint8_t online() const {
+    return flatbuffers::EndianScalar(online_);
+  }
+  uint8_t batch() const {
+    return flatbuffers::EndianScalar(batch_);
+  }
+};
+FLATBUFFERS_STRUCT_END(DomainUse, 8);
+
+struct DomainUse::Traits {
+  using type = DomainUse;
+};
+
 struct PingT : public flatbuffers::NativeTable {
   typedef Ping TableType;
 };
@@ -4467,6 +4508,8 @@
   std::unique_ptr<pistachiofall::wire::WatchMark> rolloutMark{};
   std::vector<std::unique_ptr<pistachiofall::wire::RolloutViewT>> rollouts{};
   std::vector<pistachiofall::wire::EndpointPace> paces{};
+  std::vector<pistachiofall::wire::DomainUse> domainUsage{};
+  uint16_t domainInstances = 0;
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4498,7 +4541,9 @@
     VT_ITEMQUEUES = 38,
     VT_ROLLOUTMARK = 40,
     VT_ROLLOUTS = 42,
-    VT_PACES = 44
+    VT_PACES = 44,
+    VT_DOMAINUSAGE = 46,
+    VT_DOMAININSTANCES = 48
   };
   const pistachiofall::wire::FleetMember *sender() const {
     return GetPointer<const pistachiofall::wire::FleetMember *>(VT_SENDER);
@@ -4563,6 +4608,12 @@
   const flatbuffers::Vector<const pistachiofall::wire::EndpointPace *> *paces() const {
     return GetPointer<const flatbuffers::Vector<const pistachiofall::wire::EndpointPace *> *>(VT_PACES);
   }
+  const flatbuffers::Vector<const pistachiofall::wire::DomainUse *> *domainUsage() const {
+    return GetPointer<const flatbuffers::Vector<const pistachiofall::wire::DomainUse *> *>(VT_DOMAINUSAGE);
+  }
+  uint16_t domainInstances() const {
+    return GetField<uint16_t>(VT_DOMAININSTANCES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -4603,6 +4654,9 @@
            verifier.VerifyVectorOfTables(rollouts()) &&
            VerifyOffset(verifier, VT_PACES) &&
            verifier.VerifyVector(paces()) &&
+           VerifyOffset(verifier, VT_DOMAINUSAGE) &&
+           verifier.VerifyVector(domainUsage()) &&
+           VerifyField<uint16_t>(verifier, VT_DOMAININSTANCES, 2) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4677,6 +4731,12 @@
   void add_paces(flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointPace *>> paces) {
     fbb_.AddOffset(FleetReport::VT_PACES, paces);
   }
+  void add_domainUsage(flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::DomainUse *>> domainUsage) {
+    fbb_.AddOffset(FleetReport::VT_DOMAINUSAGE, domainUsage);
+  }
+  void add_domainInstances(uint16_t domainInstances) {
+    fbb_.AddElement<uint16_t>(FleetReport::VT_DOMAININSTANCES, domainInstances, 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4710,11 +4770,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>> itemQueues = 0,
     const pistachiofall::wire::WatchMark *rolloutMark = nullptr,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>>> rollouts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointPace *>> paces = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointPace *>> paces = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::DomainUse *>> domainUsage = 0,
+    uint16_t domainInstances = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configVersion(configVersion);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_domainUsage(domainUsage);
   builder_.add_paces(paces);
   builder_.add_rollouts(rollouts);
   builder_.add_rolloutMark(rolloutMark);
@@ -4732,6 +4795,7 @@
   builder_.add_storeAgeMs(storeAgeMs);
   builder_.add_uptimeMs(uptimeMs);
   builder_.add_sender(sender);
+  builder_.add_domainInstances(domainInstances);
   builder_.add_leaving(leaving);
   return builder_.Finish();
 }
@@ -4763,7 +4827,9 @@
     const std::vector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>> *itemQueues = nullptr,
     const pistachiofall::wire::WatchMark *rolloutMark = nullptr,
     const std::vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>> *rollouts = nullptr,
-    const std::vector<pistachiofall::wire::EndpointPace> *paces = nullptr) {
+    const std::vector<pistachiofall::wire::EndpointPace> *paces = nullptr,
+    const std::vector<pistachiofall::wire::DomainUse> *domainUsage = nullptr,
+    uint16_t domainInstances = 0) {
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>>(*organisations) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*queues) : 0;
@@ -4773,6 +4839,7 @@
   auto itemQueues__ = itemQueues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*itemQueues) : 0;
   auto rollouts__ = rollouts ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::RolloutView>>(*rollouts) : 0;
   auto paces__ = paces ? _fbb.CreateVectorOfStructs<pistachiofall::wire::EndpointPace>(*paces) : 0;
+  auto domainUsage__ = domainUsage ? _fbb.CreateVectorOfStructs<pistachiofall::wire::DomainUse>(*domainUsage) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       sender,
@@ -4795,7 +4862,9 @@
       itemQueues__,
       rolloutMark,
       rollouts__,
-      paces__);
+      paces__,
+      domainUsage__,
+      domainInstances);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6867,7 +6936,9 @@
         waitingItems(o.waitingItems),
         ownedJobs(o.ownedJobs),
         rolloutMark((o.rolloutMark) ? new pistachiofall::wire::WatchMark(*o.rolloutMark) : nullptr),
-        paces(o.paces) {
+        paces(o.paces),
+        domainUsage(o.domainUsage),
+        domainInstances(o.domainInstances) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new pistachiofall::wire::EndpointUseT(*endpoints_) : nullptr); }
   organisations.reserve(o.organisations.size());
@@ -6906,6 +6977,8 @@
   std::swap(rolloutMark, o.rolloutMark);
   std::swap(rollouts, o.rollouts);
   std::swap(paces, o.paces);
+  std::swap(domainUsage, o.domainUsage);
+  std::swap(domainInstances, o.domainInstances);
   return *this;
 }
 
@@ -6939,6 +7012,8 @@
   { auto _e = rolloutMark(); if (_e) _o->rolloutMark = std::unique_ptr<pistachiofall::wire::WatchMark>(new pistachiofall::wire::WatchMark(*_e)); }
   { auto _e = rollouts(); if (_e) { _o->rollouts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rollouts[_i] = std::unique_ptr<pistachiofall::wire::RolloutViewT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = paces(); if (_e) { _o->paces.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->paces[_i] = *_e->Get(_i); } } }
+  { auto _e = domainUsage(); if (_e) { _o->domainUsage.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->domainUsage[_i] = *_e->Get(_i); } } }
+  { auto _e = domainInstances(); _o->domainInstances = _e; }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6970,6 +7045,8 @@
   auto _rolloutMark = _o->rolloutMark ? _o->rolloutMark.get() : nullptr;
   auto _rollouts = _o->rollouts.size() ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::RolloutView>> (_o->rollouts.size(), [](size_t i, _VectorArgs *__va) { return CreateRolloutView(*__va->__fbb, __va->__o->rollouts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _paces = _o->paces.size() ? _fbb.CreateVectorOfStructs(_o->paces) : 0;
+  auto _domainUsage = _o->domainUsage.size() ? _fbb.CreateVectorOfStructs(_o->domainUsage) : 0;
+  auto _domainInstances = _o->domainInstances;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       _sender,
@@ -6992,7 +7069,9 @@
       _itemQueues,
       _rolloutMark,
       _rollouts,
-      _paces);
+      _paces,
+      _domainUsage,
+      _domainInstances);
 }
 
 inline FleetReportReplyT::FleetReportReplyT(const FleetReportReplyT &o)
