Fair shares of short room, a bound on how long items wait for peaks, and load samples

Change: FairShare finds the organisations above their max-min share from the counts that are reported for limits; their requests wait behind the others (setting fair_shares). Items wait for room beside a peak for 2 s at most. Counters show how often some endpoints of a service are full while others have room.

--- a/src/fleet/endpointpool.cpp
+++ b/src/fleet/endpointpool.cpp
@@ -533,6 +533,20 @@
     return freeSlots;
 }
 
+LoadSpread EndpointPool::loadSpread(const std::string &service) const
+{
+    LoadSpread spread;
+    for (const auto &[id, entry] : m_entries) {
+        if (!isCounted(entry, service))
+            continue;
+        const int freeSlots = entry.endpoint.slots - entry.total().total();
+        ++spread.endpoints;
+        spread.full += freeSlots <= 0 ? 1 : 0;
+        spread.withRoom += freeSlots >= 2 ? 1 : 0;
+    }
+    return spread;
+}
+
 bool EndpointPool::markLeaving(const EndpointIncarnation &endpoint, SteadyTime now)
 {
     const bool isNew = m_leaving.add(endpoint, now);
--- a/src/fleet/endpointpool.h
+++ b/src/fleet/endpointpool.h
@@ -31,6 +31,15 @@
     int warm = 0;
 };
 
+/// How evenly the endpoints of a service are used.
+struct LoadSpread
+{
+    int endpoints = 0;
+    /// Endpoints without a free slot, and those with two or more.
+    int full = 0;
+    int withRoom = 0;
+};
+
 /// Tracks the endpoints of the fleet and how this instance and its peers use them, and chooses an
 /// endpoint for each request. No instance owns an endpoint: each one sends independently, based on
 /// its own usage and the last report of each peer, so that no endpoint becomes unreachable when an
@@ -126,6 +135,8 @@
     /// that have no online request.
     int slotCount(const std::string &service, SteadyTime now) const;
     int availableOnlineSlots(const std::string &service, SteadyTime now) const;
+    /// How the load is spread over the service's endpoints at present.
+    LoadSpread loadSpread(const std::string &service) const;
     /// The process of an endpoint has announced that it leaves: it gets nothing new, whatever its
     /// entry says. Returns whether this is news.
     bool markLeaving(const EndpointIncarnation &endpoint, SteadyTime now);
--- a/src/fleet/quotalimiter.cpp
+++ b/src/fleet/quotalimiter.cpp
@@ -97,10 +97,29 @@
     return sum;
 }
 
-double QuotaLimiter::currentLimit(const Limit &limit, SteadyTime now) const
+double QuotaLimiter::allowedInWindow(const Limit &limit) const
 {
     const std::chrono::duration<double> window = m_window - WindowMargin;
-    const double maxRequests = limit.ratePerSecond * window.count() + limit.burst;
+    return limit.ratePerSecond * window.count() + limit.burst;
+}
+
+std::map<std::string, double> QuotaLimiter::fleetUsage(SteadyTime now)
+{
+    std::map<std::string, double> usage;
+    for (const auto &[organisation, count] : localUsage(now))
+        usage[organisation] += count;
+    for (const auto &[name, peer] : m_peers) {
+        if (now - peer.lastReport > m_window)
+            continue;
+        for (const auto &[organisation, count] : peer.use)
+            usage[organisation] += count;
+    }
+    return usage;
+}
+
+double QuotaLimiter::currentLimit(const Limit &limit, SteadyTime now) const
+{
+    const double maxRequests = allowedInWindow(limit);
     if (m_isHistoryKnown)
         return maxRequests;
     const std::chrono::duration<double> elapsed =
--- a/src/fleet/quotalimiter.h
+++ b/src/fleet/quotalimiter.h
@@ -61,6 +61,12 @@
     /// Returns how long a rejected caller should wait before it tries again.
     std::chrono::milliseconds retryAfter(const std::string &organisation, const Limit &limit) const;
 
+    /// Returns the number of requests that all instances sent in their windows as far as reported,
+    /// by organisation.
+    std::map<std::string, double> fleetUsage(SteadyTime now);
+    /// Returns what the limit allows in one window.
+    double allowedInWindow(const Limit &limit) const;
+
     /// Returns the number of requests that this instance sent in its window, by organisation.
     std::map<std::string, std::uint32_t> localUsage(SteadyTime now);
 
--- a/src/fleet/requestqueue.cpp
+++ b/src/fleet/requestqueue.cpp
@@ -28,8 +28,8 @@
     for (const auto &[id, request] : found->second)
         requests.push_back(request);
     const auto rank = [now](const WaitingRequest &request) {
-        return std::make_tuple(request.startBy < now, request.priority, request.startBy,
-                               request.id);
+        return std::make_tuple(request.startBy < now, request.isOverShare, request.priority,
+                               request.startBy, request.id);
     };
     std::sort(requests.begin(), requests.end(),
               [&rank](const WaitingRequest &left, const WaitingRequest &right) {
@@ -52,6 +52,16 @@
     return found == m_waiting.end() ? 0 : static_cast<int>(found->second.size());
 }
 
+int RequestQueue::countOverShare(const std::string &service) const
+{
+    const auto found = m_waiting.find(service);
+    if (found == m_waiting.end())
+        return 0;
+    return static_cast<int>(
+            std::count_if(found->second.begin(), found->second.end(),
+                          [](const auto &each) { return each.second.isOverShare; }));
+}
+
 std::vector<std::string> RequestQueue::services() const
 {
     std::vector<std::string> names;
--- a/src/fleet/requestqueue.h
+++ b/src/fleet/requestqueue.h
@@ -22,10 +22,13 @@
     SteadyTime startBy{};
     /// The time at which its caller gives up.
     SteadyTime deadline{};
+    /// Whether its organisation takes more than its share of the room.
+    bool isOverShare = false;
 };
 
 /// The requests of this instance that wait for a slot, by service. Requests that can still meet
-/// their latency objective come first, ordered by priority and then by the earliest required start.
+/// their latency objective come first, those of organisations within their shares before others,
+/// ordered by priority and then by the earliest required start.
 /// Requests that can no longer meet it follow in the same order.
 ///
 /// Not thread safe.
@@ -41,6 +44,8 @@
     /// Returns the number of queued requests by service. Services without any are left out.
     std::map<std::string, int> counts() const;
     int count(const std::string &service) const;
+    /// The number of those whose organisations take more than their shares.
+    int countOverShare(const std::string &service) const;
     std::vector<std::string> services() const;
 
 private:
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -34,6 +34,8 @@
 constexpr milliseconds DelayAfterPreemption{200};
 // Items of other instances that can be in time find the slots that late items leave free.
 constexpr int ExtraMarginOfLateItems = 1;
+// Items that wait longer for room beside a peak show that there is not enough of it.
+constexpr milliseconds MaxHoldForPeaks{2000};
 constexpr milliseconds MinBatchTurn{50};
 constexpr int MaxRetryDoublings = 4;
 constexpr unsigned UnprocessableStatus = 422;
@@ -197,9 +199,13 @@
     ItemQueues pending;
     for (const auto &[id, job] : m_jobs) {
         for (std::size_t index = 0; index < job->items.size(); ++index) {
-            const ItemProgress &progress = job->progress[index];
+            ItemProgress &progress = job->progress[index];
             const bool isReady = progress.state == ItemProgress::State::Pending
                     && progress.notBefore <= now && job->areFailuresStored(index);
+            if (!isReady)
+                progress.readySince = {};
+            else if (progress.readySince == SteadyTime{})
+                progress.readySince = now;
             if (isReady)
                 pending.add(progress.service, {rankOf(*job, progress), job, index});
         }
@@ -229,7 +235,9 @@
     request.previousEndpoint = progress.previousEndpoint;
     request.batchTurn = batchTurn();
     request.extraMargin = item.rank.isLate ? ExtraMarginOfLateItems : 0;
-    request.isUrgent = ItemOrder::isUrgent(item.rank, m_dependencies.clock.now());
+    const auto now = m_dependencies.clock.now();
+    request.isUrgent = ItemOrder::isUrgent(item.rank, now)
+            || (!item.rank.isLate && now - progress.readySince > MaxHoldForPeaks);
     if (!request.isUrgent && m_heldServices.contains(request.service))
         return ItemQueues::Start::NotNow;
     auto placement = m_dependencies.scheduler.tryAcquireBatch(request);
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -176,6 +176,28 @@
     }
 }
 
+bool OnlineService::isOverShare(const OnlineRequest &request)
+{
+    if (!m_dependencies.sharesRoomFairly || request.organisation.empty())
+        return false;
+    const auto now = m_dependencies.clock.now();
+    if (m_shares.isOutdated(now)) {
+        std::map<std::string, OrganisationUse> uses;
+        for (const auto &[name, used] : m_dependencies.quotas.fleetUsage(now)) {
+            const ServingOrganisation *organisation = request.config->organisation(name);
+            if (organisation == nullptr || organisation->ratePerSecond <= 0)
+                continue;
+            const QuotaLimiter::Limit limit{organisation->ratePerSecond, organisation->burst};
+            uses[name] = {used, m_dependencies.quotas.allowedInWindow(limit)};
+        }
+        m_shares.update(uses, now);
+    }
+    const bool isOver = m_shares.isOverShare(request.organisation);
+    if (isOver)
+        m_dependencies.metrics.counter("requests_over_share_total").add();
+    return isOver;
+}
+
 asio::awaitable<void> OnlineService::attempt(ServerExchange &exchange, RequestContext &context)
 {
     const OnlineRequest &request = context.request;
@@ -189,6 +211,7 @@
     slot.startBy = request.arrival + request.route->objective;
     slot.deadline = request.deadline;
     slot.bypassesAdmission = context.possibleRuns > 0;
+    slot.isOverShare = isOverShare(request);
     const auto requestTime = m_dependencies.clock.now();
     SlotOutcome outcome =
             co_await m_dependencies.scheduler.acquire(std::move(slot), context.caller);
--- a/src/serving/onlineservice.h
+++ b/src/serving/onlineservice.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/decisionlog.h"
 #include "fleet/endpointpool.h"
+#include "fleet/fairshare.h"
 #include "fleet/quotalimiter.h"
 #include "http/endpointclient.h"
 #include "http/serverexchange.h"
@@ -40,6 +41,8 @@
     std::shared_ptr<EndpointClient> client;
     /// The failure domain of this instance.
     std::string failureDomain;
+    /// Whether organisations that take more than their share of the room wait behind the others.
+    bool sharesRoomFairly = false;
 };
 
 /// Runs online requests at endpoints: acquires a slot, sends the request, forwards the response,
@@ -80,9 +83,11 @@
                      bool mayHaveRun);
     void noteAnswer(const RequestContext &context, const Attempt &attempt, bool isFailure) const;
     bool mayRetry(const RequestContext &context) const;
+    bool isOverShare(const OnlineRequest &request);
 
     ServingDependencies m_dependencies;
     std::set<RequestContext *> m_active;
+    FairShare m_shares;
 };
 
 } // namespace pistachiofall
--- a/src/serving/ownedjob.h
+++ b/src/serving/ownedjob.h
@@ -47,6 +47,8 @@
     std::chrono::milliseconds runTime{0};
     /// The item is not started before this time; set after a failure.
     SteadyTime notBefore{};
+    /// Since when the item has been ready to start; the epoch when it is not.
+    SteadyTime readySince{};
     /// The number of runs in a row during which the endpoint ended before it answered.
     int endedEndpoints = 0;
     /// Forgets the output, so that the next run begins anew.
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -23,7 +23,7 @@
 // The weight of a new hold time in the moving average.
 constexpr double MeanHoldWeight = 0.05;
 // A wave of online requests lasts longer.
-constexpr milliseconds PeakRecordInterval{100};
+constexpr milliseconds SampleInterval{100};
 // After a restart of endpoints or of this instance, endpoints appear within about this time.
 constexpr milliseconds NoEndpointRetryAfter{500};
 
@@ -104,7 +104,11 @@
     if (!request.bypassesAdmission) {
         if (m_board.endpointCount(service) == 0)
             co_return SlotRefusal{SlotRefusalReason::NoEndpoint, NoEndpointRetryAfter};
-        if (decideAdmission(current, until(request.startBy, begin)) == Admission::Reject)
+        ServiceLoad ahead = current;
+        // Requests of organisations within their shares go before the others.
+        if (!request.isOverShare)
+            ahead.waiting -= m_queue.countOverShare(service);
+        if (decideAdmission(ahead, until(request.startBy, begin)) == Admission::Reject)
             co_return SlotRefusal{SlotRefusalReason::Overloaded,
                                   computeRetryAfter(current, until(request.deadline, begin), hash)};
     }
@@ -113,7 +117,8 @@
     waiter->placement = std::move(request.placement);
     waiter->bypassesAdmission = request.bypassesAdmission;
     m_waiters[id] = waiter;
-    m_queue.add({id, service, request.priority, request.startBy, request.deadline});
+    m_queue.add({id, service, request.priority, request.startBy, request.deadline,
+                 request.isOverShare});
     m_callbacks.usageChanged();
     caller.onDisconnect([waiter] {
         waiter->isCallerGone = true;
@@ -178,18 +183,34 @@
     return free;
 }
 
-void Scheduler::recordPeaks()
+void Scheduler::sampleLoad()
 {
     const auto now = m_clock.now();
-    if (!m_leavesRoomForPeaks || now < m_nextPeakRecord)
+    if (now < m_nextSample)
         return;
-    m_nextPeakRecord = now + PeakRecordInterval;
+    m_nextSample = now + SampleInterval;
     for (const auto &[service, hold] : m_meanHold) {
+        recordSpread(service);
+        if (!m_leavesRoomForPeaks)
+            continue;
         const ServiceLoad current = load(service);
         m_onlinePeaks[service].record(current.slots - current.freeSlots + current.waiting, now);
     }
 }
 
+// The part of the samples in which some endpoints are full while others have room tells how
+// unevenly the service is used.
+void Scheduler::recordSpread(const std::string &service)
+{
+    const LoadSpread spread = m_board.loadSpread(service);
+    const Labels labels{{"service", service}};
+    m_metrics.counter("load_samples_total", labels).add();
+    if (spread.full > 0 && spread.withRoom > 0)
+        m_metrics.counter("load_samples_uneven_total", labels).add();
+    m_metrics.gauge("endpoints_full", labels).set(spread.full);
+    m_metrics.gauge("endpoints_with_room", labels).set(spread.withRoom);
+}
+
 void Scheduler::release(const std::string &endpoint, const std::string &service,
                         WorkClass workClass, milliseconds held)
 {
@@ -231,7 +252,7 @@
 void Scheduler::runUpdate()
 {
     m_isUpdatePending = false;
-    recordPeaks();
+    sampleLoad();
     dispatch();
     preemptWhereFull();
     m_callbacks.capacityChanged();
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -35,6 +35,8 @@
     /// Whether the request waits regardless of the queue length, because an earlier attempt may
     /// have run it or part of its response has been sent.
     bool bypassesAdmission = false;
+    /// Whether the organisation of the request takes more than its share of the room.
+    bool isOverShare = false;
 };
 
 /// Assigns slots of endpoints to the requests of this instance. Online requests get a slot
@@ -103,7 +105,8 @@
     void refuseWaiting(const std::string &service);
     void preemptWhereFull();
     FreeSlotMargin batchMargin(const PlacementRequest &request, const ServiceLoad &load) const;
-    void recordPeaks();
+    void sampleLoad();
+    void recordSpread(const std::string &service);
     std::chrono::milliseconds meanHold(const std::string &service) const;
 
     boost::asio::any_io_executor m_executor;
@@ -118,7 +121,7 @@
     std::map<std::string, BatchMargin> m_batchMargins;
     std::map<std::string, OnlinePeak> m_onlinePeaks;
     bool m_leavesRoomForPeaks = false;
-    SteadyTime m_nextPeakRecord{};
+    SteadyTime m_nextSample{};
     std::uint64_t m_nextId = 1;
     boost::asio::steady_timer m_updateTimer;
     bool m_isUpdatePending = false;
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -212,9 +212,19 @@
 
 ServingDependencies ServingInstance::Data::dependencies()
 {
-    return {clock,          *protocol, log,       metrics,
-            board,          quotas,    scheduler, promptGuard,
-            leavingNotices, answers,   client,    settings.failureDomain};
+    return {clock,
+            *protocol,
+            log,
+            metrics,
+            board,
+            quotas,
+            scheduler,
+            promptGuard,
+            leavingNotices,
+            answers,
+            client,
+            settings.failureDomain,
+            settings.sharesRoomFairly};
 }
 
 Result<Done> ServingInstance::Data::open(const SpaceFactory &spaceFactory)
--- a/src/settings/fleetsettings.h
+++ b/src/settings/fleetsettings.h
@@ -51,6 +51,8 @@
     bool learnsSpeeds = false;
     /// Whether reports to other failure domains carry the usage by the whole own one.
     bool summarisesUsage = false;
+    /// Whether organisations that take more than their share wait behind the others.
+    bool sharesRoomFairly = false;
     /// The bounds on rollouts of versions. Without them the instance takes no orders for rollouts.
     std::optional<RolloutBounds> rollouts = std::nullopt;
 };
--- a/src/settings/loadfleetsettings.cpp
+++ b/src/settings/loadfleetsettings.cpp
@@ -110,6 +110,7 @@
     fleet.boolean("room_for_peaks", settings.leavesRoomForPeaks);
     fleet.boolean("learn_speeds", settings.learnsSpeeds);
     fleet.boolean("summarise_usage", settings.summarisesUsage);
+    fleet.boolean("fair_shares", settings.sharesRoomFairly);
     fleet.rejectUnknownKeys();
     if (!errors.isEmpty())
         return errors.toError();
