Failures of endpoints shared by all instances

Change: reports carry the failures of the last 3 s by endpoint; the weight of an endpoint shrinks with their number over the fleet, one being tolerated (setting share_failures).

--- a/src/fleet/endpointchoice.h
+++ b/src/fleet/endpointchoice.h
@@ -19,6 +19,8 @@
     bool isCold = false;
     /// In relation to the mean of the service.
     double speed = 1;
+    /// Below 1 after failures.
+    double healthWeight = 1;
 };
 
 /// Chooses one of the candidates that are offered one after the other, at random in proportion to
--- a/src/fleet/endpointpool.cpp
+++ b/src/fleet/endpointpool.cpp
@@ -107,12 +107,16 @@
     m_entries.erase(found);
 }
 
-void EndpointPool::recordAnswer(const EndpointAnswer &answer)
+void EndpointPool::recordAnswer(const EndpointAnswer &answer, SteadyTime now)
 {
     const auto found = m_entries.find(answer.endpoint.id);
-    if (m_learnsSpeeds && found != m_entries.end()
-        && found->second.speedKey == EndpointSpeeds::keyOf(answer.endpoint))
+    if (found == m_entries.end()
+        || found->second.speedKey != EndpointSpeeds::keyOf(answer.endpoint))
+        return;
+    if (m_learnsSpeeds)
         m_speeds.record(answer);
+    if (m_sharesFailures && answer.isFailure)
+        m_failures.record(markOf(found->second.speedKey), now);
 }
 
 std::vector<std::string> EndpointPool::ids() const
@@ -281,6 +285,7 @@
 void EndpointPool::removePeer(const std::string &peer)
 {
     m_peerUsage.erase(peer);
+    m_failures.setPeer(peer, {});
     m_batchTurns.remove(peer);
     const std::size_t domain = domainOf(peer);
     for (auto &[id, entry] : m_entries) {
@@ -348,6 +353,7 @@
 void EndpointPool::removeExpired(SteadyTime now)
 {
     m_leaving.removeExpired(now);
+    m_failures.own(now);
     if (m_domains.expire(now))
         sumAllPeers();
     if (m_versions.isEnabled())
@@ -403,9 +409,13 @@
 EndpointCandidate EndpointPool::candidate(const Entry &entry, const PlacementRequest &request,
                                           SteadyTime now) const
 {
-    return {entry.endpoint.id,  entry.endpoint.slots,
-            entry.total(),      entry.endpoint.failureDomain != request.failureDomain,
-            isCold(entry, now), m_learnsSpeeds ? m_speeds.speed(entry.speedKey) : 1};
+    return {entry.endpoint.id,
+            entry.endpoint.slots,
+            entry.total(),
+            entry.endpoint.failureDomain != request.failureDomain,
+            isCold(entry, now),
+            m_learnsSpeeds ? m_speeds.speed(entry.speedKey) : 1,
+            m_sharesFailures ? m_failures.weight(markOf(entry.speedKey)) : 1};
 }
 
 std::optional<Placement> EndpointPool::placeOnline(const PlacementRequest &request,
--- a/src/fleet/endpointpool.h
+++ b/src/fleet/endpointpool.h
@@ -12,6 +12,7 @@
 #include "fleet/fleetendpoint.h"
 #include "fleet/leavingendpoints.h"
 #include "fleet/placement.h"
+#include "fleet/recentfailures.h"
 #include "fleet/servingconfig.h"
 #include "fleet/versionroles.h"
 
@@ -74,9 +75,12 @@
 
     /// Endpoints that have shown to be faster than the others get more of the requests.
     void learnSpeeds() { m_learnsSpeeds = true; }
-    /// Takes the pace of an answer into account.
-    void recordAnswer(const EndpointAnswer &answer);
+    /// Endpoints that have failed requests of any instance lately get fewer of them.
+    void shareFailures() { m_sharesFailures = true; }
+    /// Takes the pace of an answer, or its failure, into account.
+    void recordAnswer(const EndpointAnswer &answer, SteadyTime now);
     EndpointSpeeds &speeds() { return m_speeds; }
+    RecentFailures &failures() { return m_failures; }
 
     /// Rollouts of versions may come; see VersionRoles::enable().
     void enableRollouts(std::chrono::milliseconds newVersionHold);
@@ -221,7 +225,9 @@
     LeavingEndpoints m_leaving;
     VersionRoles m_versions;
     EndpointSpeeds m_speeds;
+    RecentFailures m_failures;
     bool m_learnsSpeeds = false;
+    bool m_sharesFailures = false;
 };
 
 } // namespace pistachiofall
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -236,10 +236,11 @@
     quotas.setSlack(settings.quotaSlack);
     if (settings.leavesRoomForPeaks)
         scheduler.leaveRoomForPeaks();
-    if (settings.learnsSpeeds) {
+    if (settings.learnsSpeeds)
         board.learnSpeeds();
-        answers.add([this](const EndpointAnswer &answer) { board.recordAnswer(answer); });
-    }
+    if (settings.sharesFailures)
+        board.shareFailures();
+    answers.add([this](const EndpointAnswer &answer) { board.recordAnswer(answer, clock.now()); });
     createServices();
     if (settings.rollouts)
         createRollouts();
@@ -492,6 +493,10 @@
         entry->batch = static_cast<std::uint16_t>(use.batch);
         report.endpoints.push_back(std::move(entry));
     }
+    if (settings.sharesFailures) {
+        for (const FailureMark &mark : board.failures().own(clock.now()))
+            report.failures.emplace_back(mark.endpoint, cappedCount(static_cast<int>(mark.count)));
+    }
     if (!sendsSummaries() || !peers.isFar(peer))
         return;
     report.domainInstances = static_cast<std::uint16_t>(peers.liveInDomain());
@@ -508,6 +513,10 @@
         use[each->endpoint] = {each->online, each->batch};
     board.setPeerDomain(peer, domain);
     board.setPeerUsage(peer, std::move(use), clock.now());
+    std::vector<FailureMark> failures;
+    for (const wire::EndpointFailures &each : report.failures)
+        failures.push_back({each.endpoint(), each.count()});
+    board.failures().setPeer(peer, failures);
     if (!settings.summarisesUsage || report.domainInstances == 0
         || domain == settings.failureDomain)
         return;
--- a/src/settings/fleetsettings.h
+++ b/src/settings/fleetsettings.h
@@ -49,6 +49,8 @@
     bool leavesRoomForPeaks = false;
     /// Whether endpoints that are faster than others get more of the requests.
     bool learnsSpeeds = false;
+    /// Whether endpoints that have failed requests of any instance lately get fewer of them.
+    bool sharesFailures = false;
     /// Whether reports to other failure domains carry the usage by the whole own one.
     bool summarisesUsage = false;
     /// Whether organisations that take more than their share wait behind the others.
--- a/src/settings/loadfleetsettings.cpp
+++ b/src/settings/loadfleetsettings.cpp
@@ -109,6 +109,7 @@
     fleet.milliseconds("lapsed_entry_grace_ms", 0, MaxMilliseconds, settings.lapsedEntryGrace);
     fleet.boolean("room_for_peaks", settings.leavesRoomForPeaks);
     fleet.boolean("learn_speeds", settings.learnsSpeeds);
+    fleet.boolean("share_failures", settings.sharesFailures);
     fleet.boolean("summarise_usage", settings.summarisesUsage);
     fleet.boolean("fair_shares", settings.sharesRoomFairly);
     fleet.rejectUnknownKeys();
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -162,6 +162,8 @@
 
 struct DomainUse;
 
+struct EndpointFailures;
+
 struct FleetReport;
 struct FleetReportBuilder;
 struct FleetReportT;
@@ -1337,6 +1339,43 @@
   using type = DomainUse;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) EndpointFailures FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t endpoint_;
+  uint8_t count_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  struct Traits;
+  EndpointFailures()
+      : endpoint_(0),
+        count_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  EndpointFailures(uint32_t _endpoint, uint8_t _count)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        count_(flatbuffers::EndianScalar(_count)),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint32_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint8_t count() const {
+    return flatbuffers::EndianScalar(count_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EndpointFailures, 8);
+
+struct EndpointFailures::Traits {
+  using type = EndpointFailures;
+};
+
 struct PingT : public flatbuffers::NativeTable {
   typedef Ping TableType;
 };
@@ -4510,6 +4549,7 @@
   std::vector<pistachiofall::wire::EndpointPace> paces{};
   std::vector<pistachiofall::wire::DomainUse> domainUsage{};
   uint16_t domainInstances = 0;
+  std::vector<pistachiofall::wire::EndpointFailures> failures{};
   FleetReportT() = default;
   FleetReportT(const FleetReportT &o);
   FleetReportT(FleetReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4543,7 +4583,8 @@
     VT_ROLLOUTS = 42,
     VT_PACES = 44,
     VT_DOMAINUSAGE = 46,
-    VT_DOMAININSTANCES = 48
+    VT_DOMAININSTANCES = 48,
+    VT_FAILURES = 50
   };
   const pistachiofall::wire::FleetMember *sender() const {
     return GetPointer<const pistachiofall::wire::FleetMember *>(VT_SENDER);
@@ -4614,6 +4655,9 @@
   uint16_t domainInstances() const {
     return GetField<uint16_t>(VT_DOMAININSTANCES, 0);
   }
+  const flatbuffers::Vector<const pistachiofall::wire::EndpointFailures *> *failures() const {
+    return GetPointer<const flatbuffers::Vector<const pistachiofall::wire::EndpointFailures *> *>(VT_FAILURES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -4657,6 +4701,8 @@
            VerifyOffset(verifier, VT_DOMAINUSAGE) &&
            verifier.VerifyVector(domainUsage()) &&
            VerifyField<uint16_t>(verifier, VT_DOMAININSTANCES, 2) &&
+           VerifyOffset(verifier, VT_FAILURES) &&
+           verifier.VerifyVector(failures()) &&
            verifier.EndTable();
   }
   FleetReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4737,6 +4783,9 @@
   void add_domainInstances(uint16_t domainInstances) {
     fbb_.AddElement<uint16_t>(FleetReport::VT_DOMAININSTANCES, domainInstances, 0);
   }
+  void add_failures(flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointFailures *>> failures) {
+    fbb_.AddOffset(FleetReport::VT_FAILURES, failures);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4772,11 +4821,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>>> rollouts = 0,
     flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointPace *>> paces = 0,
     flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::DomainUse *>> domainUsage = 0,
-    uint16_t domainInstances = 0) {
+    uint16_t domainInstances = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointFailures *>> failures = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_configVersion(configVersion);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_failures(failures);
   builder_.add_domainUsage(domainUsage);
   builder_.add_paces(paces);
   builder_.add_rollouts(rollouts);
@@ -4829,7 +4880,8 @@
     const std::vector<flatbuffers::Offset<pistachiofall::wire::RolloutView>> *rollouts = nullptr,
     const std::vector<pistachiofall::wire::EndpointPace> *paces = nullptr,
     const std::vector<pistachiofall::wire::DomainUse> *domainUsage = nullptr,
-    uint16_t domainInstances = 0) {
+    uint16_t domainInstances = 0,
+    const std::vector<pistachiofall::wire::EndpointFailures> *failures = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::EndpointUse>>(*endpoints) : 0;
   auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::OrganisationUse>>(*organisations) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::ServiceQueue>>(*queues) : 0;
@@ -4840,6 +4892,7 @@
   auto rollouts__ = rollouts ? _fbb.CreateVector<flatbuffers::Offset<pistachiofall::wire::RolloutView>>(*rollouts) : 0;
   auto paces__ = paces ? _fbb.CreateVectorOfStructs<pistachiofall::wire::EndpointPace>(*paces) : 0;
   auto domainUsage__ = domainUsage ? _fbb.CreateVectorOfStructs<pistachiofall::wire::DomainUse>(*domainUsage) : 0;
+  auto failures__ = failures ? _fbb.CreateVectorOfStructs<pistachiofall::wire::EndpointFailures>(*failures) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       sender,
@@ -4864,7 +4917,8 @@
       rollouts__,
       paces__,
       domainUsage__,
-      domainInstances);
+      domainInstances,
+      failures__);
 }
 
 flatbuffers::Offset<FleetReport> CreateFleetReport(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6938,7 +6992,8 @@
         rolloutMark((o.rolloutMark) ? new pistachiofall::wire::WatchMark(*o.rolloutMark) : nullptr),
         paces(o.paces),
         domainUsage(o.domainUsage),
-        domainInstances(o.domainInstances) {
+        domainInstances(o.domainInstances),
+        failures(o.failures) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new pistachiofall::wire::EndpointUseT(*endpoints_) : nullptr); }
   organisations.reserve(o.organisations.size());
@@ -6979,6 +7034,7 @@
   std::swap(paces, o.paces);
   std::swap(domainUsage, o.domainUsage);
   std::swap(domainInstances, o.domainInstances);
+  std::swap(failures, o.failures);
   return *this;
 }
 
@@ -7014,6 +7070,7 @@
   { auto _e = paces(); if (_e) { _o->paces.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->paces[_i] = *_e->Get(_i); } } }
   { auto _e = domainUsage(); if (_e) { _o->domainUsage.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->domainUsage[_i] = *_e->Get(_i); } } }
   { auto _e = domainInstances(); _o->domainInstances = _e; }
+  { auto _e = failures(); if (_e) { _o->failures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->failures[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<FleetReport> FleetReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FleetReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7047,6 +7104,7 @@
   auto _paces = _o->paces.size() ? _fbb.CreateVectorOfStructs(_o->paces) : 0;
   auto _domainUsage = _o->domainUsage.size() ? _fbb.CreateVectorOfStructs(_o->domainUsage) : 0;
   auto _domainInstances = _o->domainInstances;
+  auto _failures = _o->failures.size() ? _fbb.CreateVectorOfStructs(_o->failures) : 0;
   return pistachiofall::wire::CreateFleetReport(
       _fbb,
       _sender,
@@ -7071,7 +7129,8 @@
       _rollouts,
       _paces,
       _domainUsage,
-      _domainInstances);
+      _domainInstances,
+      _failures);
 }
 
 inline FleetReportReplyT::FleetReportReplyT(const FleetReportReplyT &o)
--- a/tests/fleet/endpointspeedstest.cpp
+++ b/tests/fleet/endpointspeedstest.cpp
@@ -100,8 +100,8 @@
     for (const FleetEndpoint &endpoint : {slow, ordinary, fast})
         pool.update(endpoint, now);
     for (int round = 0; round < 60; ++round) {
-        pool.recordAnswer(answer(slow, 80));
-        pool.recordAnswer(answer(fast, 25));
+        pool.recordAnswer(answer(slow, 80), now);
+        pool.recordAnswer(answer(fast, 25), now);
     }
     CHECK(pool.speeds().speed(EndpointSpeeds::keyOf(slow)) < 0.9);
     FleetEndpoint successor = slow;
@@ -109,7 +109,7 @@
     pool.update(successor, now);
     DOUBLES_EQUAL(1, pool.speeds().speed(EndpointSpeeds::keyOf(slow)), 0);
     // An answer of the process before it counts no more.
-    pool.recordAnswer(answer(slow, 80));
+    pool.recordAnswer(answer(slow, 80), now);
     DOUBLES_EQUAL(1, pool.speeds().speed(EndpointSpeeds::keyOf(successor)), 0);
 }
 
