--- a/src/fleet/endpointchoice.h
+++ b/src/fleet/endpointchoice.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <optional>
 #include <string_view>
+#include <tuple>
 
 namespace pistachiofall {
 
@@ -47,7 +48,10 @@
     {
         bool isFull = false;
         double rank = 0;
-        auto operator<=>(const Score &other) const = default;
+        bool operator<(const Score &other) const
+        {
+            return std::tie(isFull, rank) < std::tie(other.isFull, other.rank);
+        }
     };
 
     bool take(const Score &score);
