Update only what a report changes in the pool, and keep preferences of endpoints

Change: a report changes the sums of the endpoints that it names or named; preferences are renewed every 50 ms.

--- a/src/fleet/endpointchoice.cpp
+++ b/src/fleet/endpointchoice.cpp
@@ -24,13 +24,6 @@
     return -std::log(point) / weight;
 }
 
-// A request occupies a slot of a fast endpoint for a shorter time, so that the same number of slots
-// takes more requests there, and more of them are free.
-double paceWeight(const EndpointCandidate &candidate)
-{
-    return candidate.speed * candidate.speed * candidate.healthWeight;
-}
-
 } // namespace
 
 EndpointChoice::EndpointChoice(std::string_view key, const UsageAge &usageAge)
@@ -66,7 +59,7 @@
     // requests as with few, and instances whose reports are equally old must not all choose the
     // endpoint with the most free slots.
     const int freeSlots = candidate.slots - (isFull ? usage.online : usage.total());
-    double weight = static_cast<double>(freeSlots) * freeSlots * paceWeight(candidate);
+    double weight = static_cast<double>(freeSlots) * freeSlots * candidate.preference;
     if (candidate.isOtherDomain)
         weight *= otherDomainWeight();
     if (candidate.isCold)
@@ -79,7 +72,7 @@
     const int available = candidate.slots - candidate.usage.total() - slotsToLeave;
     if (available <= 0)
         return false;
-    double weight = static_cast<double>(available) * available * paceWeight(candidate);
+    double weight = static_cast<double>(available) * available * candidate.preference;
     if (candidate.isOtherDomain)
         weight *= OtherDomainBatchWeight;
     if (candidate.isCold)
--- a/src/fleet/endpointchoice.h
+++ b/src/fleet/endpointchoice.h
@@ -18,10 +18,9 @@
     EndpointUsage usage;
     bool isOtherDomain = false;
     bool isCold = false;
-    /// In relation to the mean of the service.
-    double speed = 1;
-    /// Below 1 after failures.
-    double healthWeight = 1;
+    /// Above 1 for an endpoint that is faster than others, below 1 for a slower one and after
+    /// failures.
+    double preference = 1;
 };
 
 /// Chooses one of the candidates that are offered one after the other, at random in proportion to
--- a/src/fleet/endpointpool.cpp
+++ b/src/fleet/endpointpool.cpp
@@ -28,18 +28,20 @@
 }
 
 void EndpointPool::Entry::setPeerUsage(const std::string &peer, std::size_t domain,
-                                       const EndpointUsage &usage)
+                                       const EndpointUsage &usage, const DomainUsage &domains)
 {
     if (reported.size() <= domain)
         reported.resize(domain + 1);
-    const auto found = peers.find(peer);
-    if (found != peers.end())
-        reported[domain] -= found->second;
+    EndpointUsage &known = peers[peer];
+    reported[domain] -= known;
     reported[domain] += usage;
-    if (usage.total() == 0 && found != peers.end())
-        peers.erase(found);
-    else if (usage.total() > 0)
-        peers[peer] = usage;
+    if (!domains.isSummarised(domain)) {
+        peerTotal -= known;
+        peerTotal += usage;
+    }
+    known = usage;
+    if (usage.total() == 0)
+        peers.erase(peer);
 }
 
 void EndpointPool::Entry::sumPeers(const DomainUsage &domains)
@@ -88,7 +90,7 @@
         for (const auto &[peer, usages] : m_peerUsage) {
             const auto usage = usages.find(endpoint.id);
             if (usage != usages.end())
-                entry.setPeerUsage(peer, domainOf(peer), usage->second);
+                entry.setPeerUsage(peer, domainOf(peer), usage->second, m_domains);
         }
         entry.sumPeers(m_domains);
     }
@@ -216,13 +218,22 @@
 void EndpointPool::setPeerUsage(const std::string &peer, std::map<std::string, EndpointUsage> usage,
                                 SteadyTime now)
 {
+    // Most endpoints have no requests of the peer, neither before nor now.
+    std::set<std::string> used;
+    for (const auto &[id, each] : m_peerUsage[peer])
+        used.insert(id);
+    for (const auto &[id, each] : usage)
+        used.insert(id);
     const std::size_t domain = domainOf(peer);
-    for (auto &[id, entry] : m_entries) {
-        if (entry.isFull())
-            entry.lastFull = now;
+    for (const std::string &id : used) {
+        const auto entry = m_entries.find(id);
+        if (entry == m_entries.end())
+            continue;
+        if (entry->second.isFull())
+            entry->second.lastFull = now;
         const auto found = usage.find(id);
-        entry.setPeerUsage(peer, domain, found == usage.end() ? EndpointUsage{} : found->second);
-        entry.sumPeers(m_domains);
+        entry->second.setPeerUsage(
+                peer, domain, found == usage.end() ? EndpointUsage{} : found->second, m_domains);
     }
     m_peerUsage[peer] = std::move(usage);
 }
@@ -252,20 +263,29 @@
                                   const std::vector<DomainUsageMark> &usage, SteadyTime now)
 {
     const std::size_t domain = m_domains.indexOf(failureDomain);
+    const bool wasSummarised = m_domains.isSummarised(domain);
     if (!m_domains.accept(domain, instances, now))
         return;
-    for (auto &[id, entry] : m_entries) {
-        if (entry.isFull())
-            entry.lastFull = now;
-        entry.sumPeers(m_domains);
-        entry.summarised[domain] = {};
-    }
+    if (!wasSummarised)
+        sumAllPeers();
+    std::map<const Entry *, EndpointUsage> used;
     for (const DomainUsageMark &mark : usage) {
         const auto found = m_entriesByMark.find(mark.endpoint);
         if (found != m_entriesByMark.end() && found->second != nullptr)
-            found->second->summarised[domain] = mark.usage;
+            used[found->second] = mark.usage;
+    }
+    for (auto &[id, entry] : m_entries) {
+        const auto found = used.find(&entry);
+        const EndpointUsage newest = found == used.end() ? EndpointUsage{} : found->second;
+        entry.summarised.resize(m_domains.count());
+        if (entry.summarised[domain] == newest)
+            continue;
+        if (entry.isFull())
+            entry.lastFull = now;
+        entry.peerTotal -= entry.summarised[domain];
+        entry.peerTotal += newest;
+        entry.summarised[domain] = newest;
     }
-    sumAllPeers();
 }
 
 std::vector<DomainUsageMark> EndpointPool::usageByDomain(const std::string &failureDomain)
@@ -289,8 +309,7 @@
     m_batchTurns.remove(peer);
     const std::size_t domain = domainOf(peer);
     for (auto &[id, entry] : m_entries) {
-        entry.setPeerUsage(peer, domain, {});
-        entry.sumPeers(m_domains);
+        entry.setPeerUsage(peer, domain, {}, m_domains);
     }
 }
 
@@ -353,13 +372,27 @@
 void EndpointPool::removeExpired(SteadyTime now)
 {
     m_leaving.removeExpired(now);
-    m_failures.own(now);
+    updatePreferences(now);
     if (m_domains.expire(now))
         sumAllPeers();
     if (m_versions.isEnabled())
         assignAllVersionRoles(now);
 }
 
+// Kept, because each choice reads all endpoints. A request occupies a slot of a fast endpoint for a
+// shorter time, so that the same number of slots takes more requests there, and more of them are
+// free: hence the square.
+void EndpointPool::updatePreferences(SteadyTime now)
+{
+    if (!m_learnsSpeeds && !m_sharesFailures)
+        return;
+    m_failures.removeOld(now);
+    for (auto &[id, entry] : m_entries) {
+        const double speed = m_learnsSpeeds ? m_speeds.speed(entry.speedKey) : 1;
+        entry.preference = speed * speed * m_failures.weight(markOf(entry.speedKey));
+    }
+}
+
 VersionCounts EndpointPool::countVersion(const std::string &service, const std::string &version,
                                          SteadyTime now) const
 {
@@ -409,13 +442,9 @@
 EndpointCandidate EndpointPool::candidate(const Entry &entry, const PlacementRequest &request,
                                           SteadyTime now) const
 {
-    return {entry.endpoint.id,
-            entry.endpoint.slots,
-            entry.total(),
-            entry.endpoint.failureDomain != request.failureDomain,
-            isCold(entry, now),
-            m_learnsSpeeds ? m_speeds.speed(entry.speedKey) : 1,
-            m_sharesFailures ? m_failures.weight(markOf(entry.speedKey)) : 1};
+    return {entry.endpoint.id,  entry.endpoint.slots,
+            entry.total(),      entry.endpoint.failureDomain != request.failureDomain,
+            isCold(entry, now), entry.preference};
 }
 
 std::optional<Placement> EndpointPool::placeOnline(const PlacementRequest &request,
--- a/src/fleet/endpointpool.h
+++ b/src/fleet/endpointpool.h
@@ -149,8 +149,8 @@
     {
         return m_leaving.recent(now);
     }
-    /// Forgets old announcements, and lets versions serve whose time of waiting for an order is
-    /// over. To be called periodically.
+    /// Forgets old announcements and summaries, lets versions serve whose time of waiting for an
+    /// order is over, and takes new speeds and failures into account. To be called periodically.
     void removeExpired(SteadyTime now);
 
     /// Whether the endpoint is in the pool, of that service and accepts requests.
@@ -183,8 +183,10 @@
         bool isLeaving = false;
         VersionRole versionRole = VersionRole::Unrestricted;
         std::uint64_t speedKey = 0;
+        double preference = 1;
 
-        void setPeerUsage(const std::string &peer, std::size_t domain, const EndpointUsage &usage);
+        void setPeerUsage(const std::string &peer, std::size_t domain, const EndpointUsage &usage,
+                          const DomainUsage &domains);
         void sumPeers(const DomainUsage &domains);
         EndpointUsage total() const;
         bool isFull() const;
@@ -205,6 +207,7 @@
     bool isUsable(const Entry &entry, const PlacementRequest &request, SteadyTime now) const;
     bool isCold(const Entry &entry, SteadyTime now) const;
     void markCold(Entry &entry, std::chrono::milliseconds period, SteadyTime now);
+    void updatePreferences(SteadyTime now);
     std::size_t domainOf(const std::string &peer);
     void sumAllPeers();
     double coldRate(const std::string &service) const;
--- a/src/fleet/endpointusage.h
+++ b/src/fleet/endpointusage.h
@@ -10,6 +10,8 @@
 
     int total() const { return online + batch; }
 
+    bool operator==(const EndpointUsage &other) const = default;
+
     EndpointUsage &operator+=(const EndpointUsage &other)
     {
         online += other.online;
--- a/src/fleet/recentfailures.h
+++ b/src/fleet/recentfailures.h
@@ -28,6 +28,8 @@
 {
 public:
     void record(std::uint32_t endpoint, SteadyTime now);
+    /// Forgets failures that are older than the memory.
+    void removeOld(SteadyTime now);
     /// The failures that this instance has seen within the memory.
     std::vector<FailureMark> own(SteadyTime now);
     void setPeer(const std::string &peer, const std::vector<FailureMark> &marks);
@@ -38,8 +40,6 @@
     static constexpr std::chrono::milliseconds Memory{3000};
 
 private:
-    void removeOld(SteadyTime now);
-
     std::map<std::uint32_t, std::deque<SteadyTime>> m_own;
     std::map<std::string, std::vector<FailureMark>> m_byPeer;
     std::map<std::uint32_t, std::uint32_t> m_peerTotals;
--- a/tests/fleet/endpointspeedstest.cpp
+++ b/tests/fleet/endpointspeedstest.cpp
@@ -122,6 +122,7 @@
     for (const FleetEndpoint &endpoint : {slow, ordinary, fast})
         pool.update(endpoint, now);
     play(pool.speeds(), 60);
+    pool.removeExpired(now);
     std::map<std::string, int> counts;
     for (int index = 0; index < 3000; ++index)
         ++counts[pool.placeOnline({"chat", "east-a", std::to_string(index), {}}, now)->endpoint.id];
--- a/tests/fleet/recentfailurestest.cpp
+++ b/tests/fleet/recentfailurestest.cpp
@@ -54,6 +54,8 @@
         }
         if (request % 20 != 0)
             continue;
+        for (const auto &each : pools)
+            each->removeExpired(now);
         for (int from = 0; from < Instances; ++from) {
             const auto marks = pools[static_cast<std::size_t>(from)]->failures().own(now);
             for (int to = 0; to < Instances; ++to) {
