--- a/src/settings/fleetsettings.h
+++ b/src/settings/fleetsettings.h
@@ -5,6 +5,7 @@
 #include "fleet/rollout.h"
 #include "store/storesettings.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <optional>
@@ -32,8 +33,10 @@
     /// The maximum size of an object that the store accepts.
     static constexpr std::size_t DefaultMaxObjectBytes = std::size_t{1} << 20U;
     std::size_t maxObjectBytes = DefaultMaxObjectBytes;
-    /// The memory that the process may use, in bytes.
-    std::size_t memoryBytes = systemMemoryBytes();
+    /// The memory that the process may use, in bytes. Many processes may share a machine, so that
+    /// the default is not the machine's.
+    static constexpr std::size_t DefaultMemoryBytes = std::size_t{256} << 20U;
+    std::size_t memoryBytes = std::min(systemMemoryBytes(), DefaultMemoryBytes);
     /// The sliding window over which the limits of organisations are enforced.
     std::chrono::milliseconds quotaWindow{5000};
     /// The number of requests above a limit that operators tolerate in one window.
--- a/src/settings/loadfleetsettings.cpp
+++ b/src/settings/loadfleetsettings.cpp
@@ -72,7 +72,8 @@
     SectionReader instance(document, "instance", errors);
     std::string name = instance.requiredName("name");
     std::string failureDomain = instance.requiredName("failure_domain");
-    std::size_t memoryMegabytes = systemMemoryBytes() >> MegabyteShift;
+    std::size_t memoryMegabytes =
+            std::min(systemMemoryBytes(), FleetSettings::DefaultMemoryBytes) >> MegabyteShift;
     instance.integer("memory_mb", MinMemoryMegabytes, MaxMemoryMegabytes, memoryMegabytes);
     instance.rejectUnknownKeys();
     SectionReader listen(document, "listen", errors);
