--- a/src/fleet/fairshare.h
+++ b/src/fleet/fairshare.h
@@ -33,7 +33,7 @@
 
     bool isOverShare(const std::string &organisation) const;
 
-    static constexpr std::chrono::milliseconds UpdateInterval{200};
+    static constexpr std::chrono::milliseconds UpdateInterval{500};
 
 private:
     std::map<std::string, double> m_levels;
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -211,7 +211,7 @@
     slot.startBy = request.arrival + request.route->objective;
     slot.deadline = request.deadline;
     slot.bypassesAdmission = context.possibleRuns > 0;
-    slot.isOverShare = isOverShare(request);
+    slot.isOverShare = [this, &request] { return isOverShare(request); };
     const auto requestTime = m_dependencies.clock.now();
     SlotOutcome outcome =
             co_await m_dependencies.scheduler.acquire(std::move(slot), context.caller);
--- a/src/serving/scheduler.cpp
+++ b/src/serving/scheduler.cpp
@@ -99,6 +99,7 @@
             co_return std::move(*placement);
         }
     }
+    const bool isOverShare = request.isOverShare && request.isOverShare();
     const ServiceLoad current = load(service);
     const auto hash = stableHash(request.placement.key);
     if (!request.bypassesAdmission) {
@@ -106,7 +107,7 @@
             co_return SlotRefusal{SlotRefusalReason::NoEndpoint, NoEndpointRetryAfter};
         ServiceLoad ahead = current;
         // Requests of organisations within their shares go before the others.
-        if (!request.isOverShare)
+        if (!isOverShare)
             ahead.waiting -= m_queue.countOverShare(service);
         if (decideAdmission(ahead, until(request.startBy, begin)) == Admission::Reject)
             co_return SlotRefusal{SlotRefusalReason::Overloaded,
@@ -117,8 +118,7 @@
     waiter->placement = std::move(request.placement);
     waiter->bypassesAdmission = request.bypassesAdmission;
     m_waiters[id] = waiter;
-    m_queue.add({id, service, request.priority, request.startBy, request.deadline,
-                 request.isOverShare});
+    m_queue.add({id, service, request.priority, request.startBy, request.deadline, isOverShare});
     m_callbacks.usageChanged();
     caller.onDisconnect([waiter] {
         waiter->isCallerGone = true;
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -35,8 +35,9 @@
     /// Whether the request waits regardless of the queue length, because an earlier attempt may
     /// have run it or part of its response has been sent.
     bool bypassesAdmission = false;
-    /// Whether the organisation of the request takes more than its share of the room.
-    bool isOverShare = false;
+    /// Tells whether the organisation of the request takes more than its share of the room. Asked
+    /// only when there is no free slot; may be empty.
+    std::function<bool()> isOverShare;
 };
 
 /// Assigns slots of endpoints to the requests of this instance. Online requests get a slot
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -174,6 +174,10 @@
     std::shared_ptr<HttpListener> readyListener;
     std::shared_ptr<HttpListener> metricsListener;
     bool isStopping = false;
+    /// Kept, because each report needs them: whether reports to other failure domains carry
+    /// summaries, and the live instances that these cover.
+    bool isSummarising = false;
+    int domainInstances = 1;
 };
 
 ServingInstance::Data::Data(const FleetSettings &fleetSettings, std::string file,
@@ -392,6 +396,7 @@
 void ServingInstance::Data::membersChanged()
 {
     board.setInstances(peers.callerInstances());
+    isSummarising = sendsSummaries();
     board.setUsageAge(usageAge());
     for (const std::string &name : peers.callerInstances()) {
         if (name != settings.name)
@@ -479,7 +484,7 @@
 UsageAge ServingInstance::Data::usageAge() const
 {
     const UsageAge age = peers.reportIntervals();
-    if (!sendsSummaries())
+    if (!isSummarising)
         return age;
     return {age.sameDomain, std::min(age.otherDomain, age.sameDomain + peers.summaryInterval())};
 }
@@ -497,9 +502,9 @@
         for (const FailureMark &mark : board.failures().own(clock.now()))
             report.failures.emplace_back(mark.endpoint, cappedCount(static_cast<int>(mark.count)));
     }
-    if (!sendsSummaries() || !peers.isFar(peer))
+    if (!isSummarising || !peers.isFar(peer))
         return;
-    report.domainInstances = static_cast<std::uint16_t>(peers.liveInDomain());
+    report.domainInstances = static_cast<std::uint16_t>(domainInstances);
     for (const DomainUsageMark &mark : board.usageByDomain(settings.failureDomain))
         report.domainUsage.emplace_back(mark.endpoint, cappedCount(mark.usage.online),
                                         cappedCount(mark.usage.batch));
@@ -617,6 +622,7 @@
         if (rollouts)
             rollouts->tick();
         board.removeExpired(clock.now());
+        domainInstances = peers.liveInDomain();
         quotas.setHistoryKnown(
                 peers.hasPeerWithUptimeAbove(settings.quotaWindow + QuotaMemoryMargin),
                 clock.now());
