--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -236,7 +236,8 @@
     request.batchTurn = batchTurn();
     request.extraMargin = item.rank.isLate ? ExtraMarginOfLateItems : 0;
     const auto now = m_dependencies.clock.now();
-    request.isUrgent = ItemOrder::isUrgent(item.rank, now)
+    request.isUrgent = !m_dependencies.scheduler.leavesRoomForPeaks()
+            || ItemOrder::isUrgent(item.rank, now)
             || (!item.rank.isLate && now - progress.readySince > MaxHoldForPeaks);
     if (!request.isUrgent && m_heldServices.contains(request.service))
         return ItemQueues::Start::NotNow;
--- a/src/serving/scheduler.h
+++ b/src/serving/scheduler.h
@@ -66,6 +66,7 @@
     void setCallbacks(Callbacks callbacks);
     /// Batch items that are not urgent leave room for the recent peak of online requests.
     void leaveRoomForPeaks() { m_leavesRoomForPeaks = true; }
+    bool leavesRoomForPeaks() const { return m_leavesRoomForPeaks; }
 
     /// Waits for a slot, which counts as used until release(). Returns a refusal if no endpoint is
     /// available, the queue is too long for the objective, the deadline passes or the caller
--- a/src/serving/servinginstance.cpp
+++ b/src/serving/servinginstance.cpp
@@ -20,6 +20,7 @@
 #include "serving/rolloutdirector.h"
 #include "serving/speedreports.h"
 #include "serving/storewatchers.h"
+#include "serving/usagereports.h"
 #include "settings/loadfleetsettings.h"
 #include "wire/body.h"
 #include "wire/peerserver.h"
@@ -88,12 +89,6 @@
     return queue;
 }
 
-std::uint8_t cappedCount(int count)
-{
-    return static_cast<std::uint8_t>(
-            std::clamp<int>(count, 0, std::numeric_limits<std::uint8_t>::max()));
-}
-
 FleetPeer peerFromSettings(const FleetSettings &settings)
 {
     return {settings.name, settings.peers, settings.failureDomain, settings.callers.has_value()};
@@ -122,10 +117,6 @@
     void peerLost(const std::string &peer, bool hasStopped);
     void fillReport(const std::string &peer, wire::FleetReportT &report);
     void createRollouts();
-    bool sendsSummaries() const;
-    UsageAge usageAge() const;
-    void fillUsage(const std::string &peer, wire::FleetReportT &report);
-    void takeUsage(const std::string &peer, const wire::FleetReportT &report);
     bool isFirstInstanceFor(PromptPart part) const;
     bool isReady() const;
     milliseconds storeAge() const;
@@ -155,6 +146,7 @@
     AnswerObservers answers;
     SpeedReports speedReports;
     FleetPeers peers;
+    UsageReports usageReports;
     ConfigHolder config;
     const std::shared_ptr<EndpointClient> client;
     const std::shared_ptr<BufferBudget> bodyBudget;
@@ -174,10 +166,6 @@
     std::shared_ptr<HttpListener> readyListener;
     std::shared_ptr<HttpListener> metricsListener;
     bool isStopping = false;
-    /// Kept, because each report needs them: whether reports to other failure domains carry
-    /// summaries, and the live instances that these cover.
-    bool isSummarising = false;
-    int domainInstances = 1;
 };
 
 ServingInstance::Data::Data(const FleetSettings &fleetSettings, std::string file,
@@ -194,6 +182,7 @@
     , speedReports(clock, board.speeds())
     , peers(context.get_executor(), clock, log, metrics, peerFromSettings(settings),
             randomIncarnation())
+    , usageReports(clock, settings, peers, board)
     , config(*protocol, log, [this](const ServingConfig::Ptr &newest) { configChanged(newest); })
     , client(EndpointClient::create(context.get_executor(), clientSettings(settings), metrics))
     , bodyBudget(std::make_shared<BufferBudget>(settings.memoryBytes / BodyMemoryDivisor))
@@ -396,8 +385,7 @@
 void ServingInstance::Data::membersChanged()
 {
     board.setInstances(peers.callerInstances());
-    isSummarising = sendsSummaries();
-    board.setUsageAge(usageAge());
+    usageReports.membersChanged();
     for (const std::string &name : peers.callerInstances()) {
         if (name != settings.name)
             quotas.addPeer(name);
@@ -412,7 +400,7 @@
     if (rollouts)
         rollouts->handleReport(peer, report);
     speedReports.handleReport(peer, report);
-    takeUsage(peer, report);
+    usageReports.handleReport(peer, report);
     std::map<std::string, std::uint32_t> requests;
     for (const auto &each : report.organisations)
         requests[each->organisation] = each->requests;
@@ -463,7 +451,7 @@
         rollouts->fillReport(peer, report);
     if (settings.learnsSpeeds)
         speedReports.fillReport(peer, peers.memberNames().size(), report);
-    fillUsage(peer, report);
+    usageReports.fillReport(peer, report);
     for (const auto &[organisation, requests] : quotas.localUsage(clock.now())) {
         auto entry = std::make_unique<wire::OrganisationUseT>();
         entry->organisation = organisation;
@@ -474,63 +462,6 @@
         report.queues.push_back(encodeQueue(service, static_cast<std::size_t>(waiting)));
 }
 
-// In a small fleet the reports of single instances come as often as summaries would.
-bool ServingInstance::Data::sendsSummaries() const
-{
-    const UsageAge age = peers.reportIntervals();
-    return settings.summarisesUsage && age.otherDomain > age.sameDomain * 2;
-}
-
-UsageAge ServingInstance::Data::usageAge() const
-{
-    const UsageAge age = peers.reportIntervals();
-    if (!isSummarising)
-        return age;
-    return {age.sameDomain, std::min(age.otherDomain, age.sameDomain + peers.summaryInterval())};
-}
-
-void ServingInstance::Data::fillUsage(const std::string &peer, wire::FleetReportT &report)
-{
-    for (const auto &[id, use] : board.localUsage()) {
-        auto entry = std::make_unique<wire::EndpointUseT>();
-        entry->endpoint = id;
-        entry->online = static_cast<std::uint16_t>(use.online);
-        entry->batch = static_cast<std::uint16_t>(use.batch);
-        report.endpoints.push_back(std::move(entry));
-    }
-    if (settings.sharesFailures) {
-        for (const FailureMark &mark : board.failures().own(clock.now()))
-            report.failures.emplace_back(mark.endpoint, cappedCount(static_cast<int>(mark.count)));
-    }
-    if (!isSummarising || !peers.isFar(peer))
-        return;
-    report.domainInstances = static_cast<std::uint16_t>(domainInstances);
-    for (const DomainUsageMark &mark : board.usageByDomain(settings.failureDomain))
-        report.domainUsage.emplace_back(mark.endpoint, cappedCount(mark.usage.online),
-                                        cappedCount(mark.usage.batch));
-}
-
-void ServingInstance::Data::takeUsage(const std::string &peer, const wire::FleetReportT &report)
-{
-    const std::string &domain = report.sender->failureDomain;
-    std::map<std::string, EndpointUsage> use;
-    for (const auto &each : report.endpoints)
-        use[each->endpoint] = {each->online, each->batch};
-    board.setPeerDomain(peer, domain);
-    board.setPeerUsage(peer, std::move(use), clock.now());
-    std::vector<FailureMark> failures;
-    for (const wire::EndpointFailures &each : report.failures)
-        failures.push_back({each.endpoint(), each.count()});
-    board.failures().setPeer(peer, failures);
-    if (!settings.summarisesUsage || report.domainInstances == 0
-        || domain == settings.failureDomain)
-        return;
-    std::vector<DomainUsageMark> marks;
-    for (const wire::DomainUse &each : report.domainUsage)
-        marks.push_back({each.endpoint(), {each.online(), each.batch()}});
-    board.setDomainUsage(domain, report.domainInstances, marks, clock.now());
-}
-
 milliseconds ServingInstance::Data::storeAge() const
 {
     const auto newest = std::max(jobStore->lastResponse(), watchers->lastContact());
@@ -622,7 +553,7 @@
         if (rollouts)
             rollouts->tick();
         board.removeExpired(clock.now());
-        domainInstances = peers.liveInDomain();
+        usageReports.tick();
         quotas.setHistoryKnown(
                 peers.hasPeerWithUptimeAbove(settings.quotaWindow + QuotaMemoryMargin),
                 clock.now());
