--- a/review/harness-2/standins.py
+++ b/review/harness-2/standins.py
@@ -18,6 +18,7 @@
 START = time.monotonic()
 ANSWER_MS = 4  # of the store, as the site files have it
 HISTORY_S = 20
+VALUE_BYTES = 1048576
 TAKEN_PORTS = set()
 
 
@@ -210,6 +211,8 @@
         if request.method == "GET":
             found = self.objects.get((kind, parts[1]))
             return (200, found) if found else (404, {})
+        if len(request.body) > VALUE_BYTES:
+            return 413, {}
         if request.method == "POST":
             sent = json.loads(request.body)
             return await self.create(kind, sent)
