--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,118 +1,67 @@
-"""The settings change to a bound that is a fraction, and a process that starts again does not start."""
+"""A process is killed and starts again; its successor grants a tenant's limit once more."""
 
 import asyncio
 import os
-import re
 import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "harness-2"))
 
-import standins  # noqa: E402
-from standins import Instance, ModelServer, config, now, run_case  # noqa: E402
-
-GRACE_BEFORE, GRACE_AFTER = 8, 8.5
-RESTARTS = 3
-BOUNDS = {"quota_window_s": 5, "quota_slack": 20, "grace_s": GRACE_BEFORE, "config_apply_ms": 2000,
-          "evac_ms": 5000}
-
-
-def look_up(fields, name):
-    if name == ".":
-        return fields["."]
-    value = fields
-    for part in name.split("."):
-        if isinstance(value, list):
-            value = value[int(part)] if int(part) < len(value) else None
-        else:
-            value = value.get(part) if isinstance(value, dict) else None
-    return value
-
-
-def render(text, fields):
-    """The placeholders and sections of DEPLOY.md, as far as the template uses them."""
-    section = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.S)
-
-    def expand(match):
-        sign, name, inner = match.groups()
-        value = look_up(fields, name)
-        if sign == "^":
-            return "" if value else render(inner, fields)
-        if not value:
-            return ""
-        entries = value if isinstance(value, list) else [value]
-        parts = []
-        for index, entry in enumerate(entries):
-            comma = "," if index + 1 < len(entries) else ""
-            parts.append(render(inner.replace("{{,}}", comma), {**fields, ".": entry}))
-        return "".join(parts)
-
-    text = section.sub(expand, text)
-    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: str(look_up(fields, match[1])), text)
-
-
-class RenderedInstance(Instance):
-    """An instance whose settings are rendered from the deploy file's template."""
-
-    def write_settings(self):
-        with open(os.path.join(standins.ROOT, "deploy", "instance.toml.template"),
-                  encoding="utf-8") as file:
-            template = file.read()
-        address = "127.0.0.1:"
-        listen = {}
-        if self.is_front:
-            listen = {"front": address + str(self.front), "ready": address + str(self.ready),
-                      "control": address + str(self.peers)}
-        fronts = [each for each in self.fleet.instances if each.is_front]
-        fields = {
-            "node_name": self.name, "zone": self.zone, "ip": "127.0.0.1", "listen": listen,
-            "port_range": [self.peers, self.metrics],
-            "limits": {"memory_mb": 260 if self.is_front else 280},
-            "seeds": [address + str(each.peers) for each in fronts[:3]],
-            "platform": {"address": address + str(self.store_port), "value_bytes": 1048576},
-            "bounds": BOUNDS,
-        }
-        path = os.path.join(self.fleet.folder, self.name + ".toml")
-        with open(path, "w", encoding="utf-8") as file:
-            file.write(render(template, fields))
-        return path
-
-
-async def case(fleet, client, has_trouble, record):
-    for each in fleet.instances:
-        each.__class__ = RenderedInstance
-    fleet.servers = [ModelServer(fleet.store, record, f"i-{zone}", "lm", zone)
-                     for zone in fleet.ZONES]
-    await fleet.start(config(1, "lm"))
-    if has_trouble:
-        BOUNDS["grace_s"] = GRACE_AFTER
-        record(f"the settings change: grace_s = {GRACE_AFTER}")
-    for each in fleet.instances:
-        each.write_settings()
-        each.signal(signal.SIGHUP)
-    await asyncio.sleep(1)
-    # One process is killed, and started again after a short delay as often as it exits.
+from standins import ModelServer, NoAnswer, config, http_call, now, run_case  # noqa: E402
+
+RATE, BURST, WINDOW_S, OVER, SLACK = 40, 40, 5.0, 0.1, 20
+ALLOWED = (RATE * WINDOW_S + BURST) * (1 + OVER) + SLACK
+DOWN_S = 0.5
+CLIENTS = 40
+HEADERS = [("Host", "batch.example"), ("Authorization", "Bearer key-1-abcdefgh"),
+           ("Deadline-Ms", "1000")]
+
+
+async def case(fleet, _, has_trouble, record):
+    fleet.servers = [ModelServer(fleet.store, record, f"i-{zone}-{index}", "desk", zone, slots=8,
+                                 first_ms=10, is_plain=True)
+                     for zone in fleet.ZONES for index in (1, 2)]
+    route = {"name": "r-desk", "host": "batch.example", "path_prefix": "/desk/", "kind": "safe",
+             "timeout_ms": 1000, "slo_ms": 150, "priority": 0, "service": "desk", "attempts": 2,
+             "public": False}
+    await fleet.start(config(1, "desk", routes=[route], rate=RATE, burst=BURST))
+    # The other machines have seen a whole window of requests.
+    await asyncio.sleep(5)
     front = fleet.fronts()[0]
-    front.signal(signal.SIGKILL)
-    await front.process.wait()
-    ends = 0
-    for _ in range(RESTARTS):
-        await asyncio.sleep(0.7)
+    statuses = {}
+    end = now() + 5.0
+
+    async def send(client):
+        number = 0
+        while now() < end:
+            number += 1
+            try:
+                status, _, _ = await http_call(
+                    front.address, "POST", f"/desk/{client}",
+                    [*HEADERS, ("Request-Id", f"{client:04x}{number:012x}")], b"x", 1.0)
+            except NoAnswer:
+                status = 0
+                await asyncio.sleep(0.1)
+            statuses[status] = statuses.get(status, 0) + 1
+            await asyncio.sleep(0.1)
+
+    async def trouble():
+        await asyncio.sleep(1.8)
+        front.signal(signal.SIGKILL)
+        await front.process.wait()
+        await asyncio.sleep(DOWN_S)
         await front.start()
-        try:
-            code = await asyncio.wait_for(front.process.wait(), 5)
-        except asyncio.TimeoutError:
-            break
-        ends += 1
-        record(f"{front.name} has ended by itself with {code}")
-    with open(os.path.join(fleet.folder, front.name + ".log"), encoding="utf-8") as file:
-        last = file.read().strip().splitlines()[-1]
-    record(f"the last line that {front.name} wrote: {last}")
-    is_ready = await front.is_ready()
-    print(f"{front.name}: {ends} of {RESTARTS} starts ended by themselves, "
-          f"{'ready' if is_ready else 'not ready'}; at {now():.0f} s")
-    return 1 if ends == RESTARTS and not is_ready else 0
+
+    await asyncio.gather(*[send(client) for client in range(CLIENTS)],
+                         *([trouble()] if has_trouble else []))
+    await asyncio.sleep(0.5)
+    times = sorted(at for server in fleet.servers for at, _, _ in server.arrivals)
+    most = max(sum(begin <= at < begin + WINDOW_S for at in times) for begin in times)
+    record(f"the clients got {statuses}; within {WINDOW_S:.0f} s {most} requests of the tenant "
+           f"reached servers, {ALLOWED:.0f} are allowed")
+    print(f"{most} requests of the tenant ran within {WINDOW_S:.0f} s; {ALLOWED:.0f} are allowed")
+    return 1 if most > ALLOWED else 0
 
 
 sys.exit(run_case(HERE, case))
