A status outside 100 to 599 is no answer

What callers saw: an answer with status 000 or 099 was skipped like an interim answer. What came behind it on the connection, such as its own body, was read as the answer: callers got a foreign body with status 200, and an item of a batch job was complete with it. Without such bytes callers waited for their timeout. Status 600 and 999 were passed on with their bodies to callers whose request may run once only, and recorded as results of items by "serve".

Cause: the parser takes any three digits for a status, and the reader skipped everything below 200.

Change: AnswerReader checks the status of each head, interim ones included, before anything else; an answer outside the range is a ProtocolError, which all callers of EndpointCall already treat as "may have run": the connection is closed, the request runs again where it may, else its caller gets 502 and "run":"unknown".

The tests of what held already stay: control bytes in values, bodies whose end is not known, cut bodies, and endpoints that answer early and reset during the upload.

--- a/src/http/answerreader.cpp
+++ b/src/http/answerreader.cpp
@@ -1,5 +1,6 @@
 #include "http/answerreader.h"
 
+#include "http/answercheck.h"
 #include "http/messageparser.h"
 
 #include <utility>
@@ -14,6 +15,8 @@
 constexpr std::uint32_t MaxHeaderBytes = 32 * 1024;
 // An endpoint that sends more of them is faulty, and may do so without an end.
 constexpr int MaxInterimAnswers = 16;
+constexpr unsigned MinFinalStatus = 200;
+constexpr unsigned SwitchingProtocols = 101;
 
 Error readError(const boost::system::error_code &error)
 {
@@ -87,34 +90,43 @@
     co_return Done{};
 }
 
-asio::awaitable<Result<AnswerHead>> AnswerReader::readHead(HttpStream::TimePoint deadline)
+// Copies the head of a final answer out of the parser, if the end of its body can be known.
+Result<AnswerHead> AnswerReader::takeHead() const
 {
+    const auto &parser = *m_parser->parser;
     AnswerHead head;
+    head.status = parser.get().result_int();
+    if (head.status == SwitchingProtocols)
+        return Error{ErrorCode::ProtocolError, "the endpoint switched to another protocol"};
+    for (const auto &field : parser.get()) {
+        const auto name = field.name_string();
+        const auto value = field.value();
+        head.headers.add({name.data(), name.size()}, {value.data(), value.size()});
+    }
+    // The end of such an answer is the end of the connection, also when that broke.
+    if (!m_acceptsEndByClose && !parser.is_done() && parser.need_eof())
+        return Error{ErrorCode::ProtocolError, "the answer has neither a length nor chunks"};
+    return head;
+}
+
+asio::awaitable<Result<AnswerHead>> AnswerReader::readHead(HttpStream::TimePoint deadline)
+{
     int interimAnswers = 0;
-    do {
-        if (m_parser->parser->is_header_done()) {
-            if (++interimAnswers > MaxInterimAnswers)
-                co_return Error{ErrorCode::ProtocolError,
-                                "more than " + std::to_string(MaxInterimAnswers)
-                                        + " interim answers"};
-            beginMessage();
-        }
+    for (;;) {
         const Result<Done> parsed = co_await parseHead(deadline);
         if (!isOk(parsed))
             co_return errorOf(parsed);
-        head.status = m_parser->parser->get().result_int();
-    } while (head.status < 200 && head.status != 101);
-    if (head.status == 101)
-        co_return Error{ErrorCode::ProtocolError, "the endpoint switched to another protocol"};
-    // The end of such an answer is the end of the connection, also when that broke.
-    if (!m_acceptsEndByClose && !m_parser->parser->is_done() && m_parser->parser->need_eof())
-        co_return Error{ErrorCode::ProtocolError, "the answer has neither a length nor chunks"};
-    for (const auto &field : m_parser->parser->get()) {
-        const auto name = field.name_string();
-        const auto value = field.value();
-        head.headers.add({name.data(), name.size()}, {value.data(), value.size()});
+        const unsigned status = m_parser->parser->get().result_int();
+        const Result<Done> checked = checkStatus(status);
+        if (!isOk(checked))
+            co_return errorOf(checked);
+        if (status >= MinFinalStatus || status == SwitchingProtocols)
+            co_return takeHead();
+        if (++interimAnswers > MaxInterimAnswers)
+            co_return Error{ErrorCode::ProtocolError,
+                            "more than " + std::to_string(MaxInterimAnswers) + " interim answers"};
+        beginMessage();
     }
-    co_return head;
 }
 
 asio::awaitable<Result<std::string>> AnswerReader::readBodySome(HttpStream::TimePoint deadline)
--- a/src/http/answerreader.h
+++ b/src/http/answerreader.h
@@ -42,6 +42,7 @@
 
     boost::asio::awaitable<Result<Done>> fillBuffer(HttpStream::TimePoint deadline);
     boost::asio::awaitable<Result<Done>> parseHead(HttpStream::TimePoint deadline);
+    Result<AnswerHead> takeHead() const;
     void beginMessage();
     /// Whether the end of the connection is now the end of the answer.
     bool endsByClose() const;
--- a/tests/http/rawendpoint.cpp
+++ b/tests/http/rawendpoint.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <cstdlib>
+#include <string_view>
 #include <utility>
 #include <variant>
 
@@ -11,6 +12,30 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+namespace {
+
+constexpr std::chrono::milliseconds PieceGap{20};
+constexpr std::string_view LengthField = "Content-Length: ";
+constexpr std::string_view IdPlace = "@id@";
+
+std::string fieldOf(const std::string &request, const std::string &name)
+{
+    const auto found = request.find("\n" + name);
+    if (found == std::string::npos)
+        return {};
+    const auto begin = found + 1 + name.size();
+    return request.substr(begin, request.find('\r', begin) - begin);
+}
+
+std::string withRequestId(std::string text, const std::string &requestId)
+{
+    for (auto at = text.find(IdPlace); at != std::string::npos; at = text.find(IdPlace))
+        text.replace(at, IdPlace.size(), requestId);
+    return text;
+}
+
+} // namespace
+
 RawEndpoint::RawEndpoint(std::vector<Answer> answers)
     : m_answers(std::move(answers))
     , m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
@@ -33,12 +58,13 @@
     ::shutdown(m_listener, SHUT_RDWR);
     m_acceptThread.join();
     ::close(m_listener);
-    for (const int socket : m_sockets)
-        ::shutdown(socket, SHUT_RDWR);
+    {
+        const std::scoped_lock lock(m_mutex);
+        for (const int socket : m_sockets)
+            ::shutdown(socket, SHUT_RDWR);
+    }
     for (std::thread &thread : m_threads)
         thread.join();
-    for (const int socket : m_sockets)
-        ::close(socket);
 }
 
 pistachiofall::SocketAddress RawEndpoint::address() const
@@ -52,6 +78,14 @@
     return m_lastRequest;
 }
 
+void RawEndpoint::setAnswers(std::vector<Answer> answers)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_answers = std::move(answers);
+    m_requests = 0;
+    m_connections = 0;
+}
+
 void RawEndpoint::acceptConnections()
 {
     for (;;) {
@@ -59,48 +93,107 @@
         if (socket < 0)
             return;
         ++m_connections;
-        m_sockets.push_back(socket);
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_sockets.push_back(socket);
+        }
         m_threads.emplace_back([this, socket] { serve(socket); });
     }
 }
 
-std::string RawEndpoint::readRequest(int socket)
+// Returns nothing at the end of the connection.
+std::string RawEndpoint::readSome(int socket)
 {
-    std::string request;
     std::array<char, 65536> buffer{};
+    const auto count = ::recv(socket, buffer.data(), buffer.size(), 0);
+    return {buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0))};
+}
+
+// Reads the rest of a request that has begun.
+std::string RawEndpoint::readRequest(int socket, std::string request)
+{
     std::size_t end = std::string::npos;
-    while (request.size() < end) {
-        const auto count = ::recv(socket, buffer.data(), buffer.size(), 0);
-        if (count <= 0)
-            return {};
-        request.append(buffer.data(), static_cast<std::size_t>(count));
+    for (;;) {
         const auto headEnd = request.find("\r\n\r\n");
-        const auto length = request.find("Content-Length: ");
-        if (headEnd == std::string::npos)
-            continue;
-        end = headEnd + 4;
-        if (length < headEnd)
-            end += std::strtoul(request.c_str() + length + 16, nullptr, 10);
+        if (headEnd != std::string::npos) {
+            const auto length = request.find(LengthField);
+            end = headEnd + 4;
+            if (length < headEnd)
+                end += std::strtoul(request.c_str() + length + LengthField.size(), nullptr, 10);
+        }
+        if (request.size() >= end)
+            return request;
+        const std::string more = readSome(socket);
+        if (more.empty())
+            return {};
+        request += more;
+    }
+}
+
+const RawEndpoint::Answer &RawEndpoint::nextAnswer() const
+{
+    const auto index = static_cast<std::size_t>(m_requests);
+    return m_answers[std::min(index, m_answers.size() - 1)];
+}
+
+bool RawEndpoint::answersEarly()
+{
+    const std::scoped_lock lock(m_mutex);
+    return nextAnswer().comesEarly;
+}
+
+RawEndpoint::Answer RawEndpoint::takeAnswer(std::string request)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_lastRequest = std::move(request);
+    Answer answer = nextAnswer();
+    ++m_requests;
+    return answer;
+}
+
+void RawEndpoint::sendPieces(int socket, const Answer &answer, const std::string &requestId)
+{
+    for (const std::string &piece : answer.pieces) {
+        if (&piece != &answer.pieces.front())
+            std::this_thread::sleep_for(PieceGap);
+        const std::string bytes = withRequestId(piece, requestId);
+        ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
-    return request;
+}
+
+// The other side sees an error instead of the end of the connection.
+void RawEndpoint::reset(int socket)
+{
+    const std::scoped_lock lock(m_mutex);
+    const linger noWait{1, 0};
+    ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &noWait, sizeof noWait);
+    std::erase(m_sockets, socket);
+    ::close(socket);
 }
 
 void RawEndpoint::serve(int socket)
+{
+    serveRequests(socket);
+    const std::scoped_lock lock(m_mutex);
+    if (std::erase(m_sockets, socket) > 0)
+        ::close(socket);
+}
+
+void RawEndpoint::serveRequests(int socket)
 {
     for (;;) {
-        std::string request = readRequest(socket);
+        std::string request = readSome(socket);
+        if (!request.empty() && !answersEarly())
+            request = readRequest(socket, std::move(request));
         if (request.empty())
             return;
-        {
-            const std::scoped_lock lock(m_mutex);
-            m_lastRequest = std::move(request);
-        }
-        const auto index = static_cast<std::size_t>(m_requests++);
-        const Answer &answer = m_answers[std::min(index, m_answers.size() - 1)];
-        for (const std::string &piece : answer.pieces) {
-            if (&piece != &answer.pieces.front())
-                std::this_thread::sleep_for(std::chrono::milliseconds{20});
-            ::send(socket, piece.data(), piece.size(), MSG_NOSIGNAL);
+        const std::string requestId = fieldOf(request, "Request-Id: ");
+        const Answer answer = takeAnswer(std::move(request));
+        sendPieces(socket, answer, requestId);
+        if (answer.resetsAfterwards) {
+            std::this_thread::sleep_for(PieceGap);
+            reset(socket);
+            return;
         }
         if (answer.closesAfterwards) {
             ::shutdown(socket, SHUT_RDWR);
--- a/tests/http/rawendpoint.h
+++ b/tests/http/rawendpoint.h
@@ -15,9 +15,14 @@
 public:
     struct Answer
     {
-        /// Sent in these pieces, with a pause of 20 ms between two of them.
+        /// Sent in these pieces, with a pause of 20 ms between two of them. "@id@" stands for the
+        /// value of the request's Request-Id field.
         std::vector<std::string> pieces;
         bool closesAfterwards = false;
+        /// Resets the connection after another pause.
+        bool resetsAfterwards = false;
+        /// Sends the answer when a part of the request has come, and reads no more of it.
+        bool comesEarly = false;
     };
 
     /// The first request gets the first answer and so on; the last one repeats.
@@ -26,7 +31,12 @@
     RawEndpoint(const RawEndpoint &) = delete;
     RawEndpoint &operator=(const RawEndpoint &) = delete;
 
+    /// Sets the answers anew, and counts requests and connections from 0 again. No request may be
+    /// under way.
+    void setAnswers(std::vector<Answer> answers);
+
     pistachiofall::SocketAddress address() const;
+    std::uint16_t port() const { return m_port; }
     int connections() const { return m_connections; }
     int requests() const { return m_requests; }
     /// Whether the client has closed a connection while its answer was not complete.
@@ -36,7 +46,14 @@
 private:
     void acceptConnections();
     void serve(int socket);
-    std::string readRequest(int socket);
+    void serveRequests(int socket);
+    std::string readSome(int socket);
+    std::string readRequest(int socket, std::string request);
+    const Answer &nextAnswer() const;
+    bool answersEarly();
+    Answer takeAnswer(std::string request);
+    void sendPieces(int socket, const Answer &answer, const std::string &requestId);
+    void reset(int socket);
 
     std::vector<Answer> m_answers;
     int m_listener = -1;
--- a/tests/system/spacefleet.cpp
+++ b/tests/system/spacefleet.cpp
@@ -96,7 +96,13 @@
     std::vector<std::string> all{"--id", id};
     all.insert(all.end(), arguments.begin(), arguments.end());
     m_endpoints[id] = std::make_unique<ChildProcess>("standin_sealedengine", all);
-    m_endpointPorts[id] = announcedPort(*m_endpoints[id]);
+    registerEndpoint(id, announcedPort(*m_endpoints[id]), slots, service);
+}
+
+void SpaceFleet::registerEndpoint(const std::string &id, std::uint16_t port, int slots,
+                                  const std::string &service)
+{
+    m_endpointPorts[id] = port;
     m_endpointSlots[id] = slots;
     m_endpointServices[id] = service;
     m_endpointVersions[id] = m_version;
--- a/tests/system/spacefleet.h
+++ b/tests/system/spacefleet.h
@@ -38,6 +38,9 @@
     /// Starts an endpoint and registers it for the service.
     void startEndpoint(const std::string &id, const std::vector<std::string> &arguments = {},
                        int slots = 4, const std::string &service = "chat");
+    /// Registers an endpoint that the test itself runs at the port.
+    void registerEndpoint(const std::string &id, std::uint16_t port, int slots = 4,
+                          const std::string &service = "chat");
     /// What the endpoint says of the requests that it ran, one "ID=COUNT" a line.
     std::string seen(const std::string &id);
     void cutNextStream(const std::string &id, int afterEvents);
