A line of the head that begins with a blank is no part of an answer

What callers saw: an answer with a line such as " Name: 1" was passed on, the line joined to the value of the field before it. If the line told the length or the chunks, it was not seen: callers of "fleet serve" got the sizes of chunks as part of a stream or of a body.

Cause: the parser still joins continued lines (obs-fold of RFC 9112), which makes one field of two, and no reader looked at the lines themselves. Blanks and control bytes elsewhere in a name were errors already.

Change: AnswerReader looks at the text of the head before the parser does, and takes a continued line as a ProtocolError. The parser takes whole fields only, so the text that is left always begins where a line does, and a continued line is there with the end of the line before it.

--- a/src/http/answercheck.cpp
+++ b/src/http/answercheck.cpp
@@ -8,9 +8,25 @@
 
 constexpr unsigned MinStatus = 100;
 constexpr unsigned MaxStatus = 599;
+constexpr std::string_view LineEnd = "\r\n";
+
+// Up to the empty line, or all of the text as long as that line has not come.
+std::string_view headOf(std::string_view text)
+{
+    if (text.starts_with(LineEnd))
+        return {};
+    return text.substr(0, text.find("\r\n\r\n"));
+}
 
 } // namespace
 
+bool hasContinuedLine(std::string_view text)
+{
+    const std::string_view head = headOf(text);
+    return head.find("\r\n ") != std::string_view::npos
+            || head.find("\r\n\t") != std::string_view::npos;
+}
+
 Result<Done> checkStatus(unsigned status)
 {
     if (status < MinStatus || status > MaxStatus)
--- a/src/http/answercheck.h
+++ b/src/http/answercheck.h
@@ -2,8 +2,14 @@
 
 #include "base/result.h"
 
+#include <string_view>
+
 namespace pistachiofall::detail {
 
+/// Whether a line of the head begins with a blank, as the obsolete continuation of the field before
+/// it does. The text begins where a line does and may go on behind the head.
+bool hasContinuedLine(std::string_view text);
+
 /// ProtocolError for a status outside 100 to 599.
 Result<Done> checkStatus(unsigned status);
 
--- a/src/http/answerreader.cpp
+++ b/src/http/answerreader.cpp
@@ -77,6 +77,10 @@
 asio::awaitable<Result<Done>> AnswerReader::parseHead(HttpStream::TimePoint deadline)
 {
     while (!m_parser->parser->is_header_done()) {
+        // The parser would join such a line to the field before it.
+        if (hasContinuedLine(m_parser->bufferedText()))
+            co_return Error{ErrorCode::ProtocolError,
+                            "a line of the header of the answer begins with a blank"};
         const boost::system::error_code error = m_parser->advance();
         if (error && error != http::error::need_more)
             co_return Error{ErrorCode::ProtocolError,
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -40,6 +41,12 @@
         parser->body_limit(boost::none);
     }
 
+    /// What has arrived and is not parsed yet.
+    std::string_view bufferedText() const
+    {
+        return {static_cast<const char *>(buffer.data().data()), buffer.size()};
+    }
+
     /// Parses what the buffer holds, once.
     boost::system::error_code advance()
     {
--- a/tests/http/brokenanswerstest.cpp
+++ b/tests/http/brokenanswerstest.cpp
@@ -122,6 +122,32 @@
     checkBroken("HTTP/1.1 101 X\r\n\r\n" + soundAnswer);
 }
 
+// Guards against a line of the head that is passed on although it is no field, or that is passed
+// over although it tells where the body ends.
+TEST(BrokenAnswers, FieldNamesThatAreNoTokens)
+{
+    const std::string control("X\0Y: 1\r\n", 8);
+    for (const std::string &line :
+         {std::string("Some Name: 1\r\n"), std::string("Name : 1\r\n"),
+          std::string("Name\t: 1\r\n"), std::string("X\x01Y: 1\r\n"), std::string("X\x7fY: 1\r\n"),
+          std::string("X\x0bY: 1\r\n"), control, std::string("X\xe9Y: 1\r\n"),
+          std::string(": 1\r\n"), std::string("Name\r\n"), std::string(" Name: 1\r\n"),
+          std::string("\tName: 1\r\n"), std::string(" \r\n"), std::string("\x01: 1\r\n"),
+          std::string("X\rY: 1\r\n"), std::string("X\nY: 1\r\n")}) {
+        checkBroken(joined({ok, line, hello}));
+        checkBroken(joined({ok, length, line, "\r\nhello"}));
+        checkBroken(joined({ok, "X-A: 1\r\n", line, "X-B: 1\r\n", hello}));
+    }
+    for (const char *name : {"Content-Length : ", " Content-Length: ", "\tContent-Length: ",
+                             "Content Length: ", "Content-Length\x01: ", "Content-Length\t: "}) {
+        checkBroken(joined({ok, name, "5\r\n\r\nhello"}));
+        checkBroken(joined({ok, "X-A: 1\r\n", name, "5\r\n\r\nhello"}));
+        checkBroken(joined({ok, "X-A: 1\r\n", name, "5\r\n", chunked, chunkedHello}));
+    }
+    checkBroken(ok + "X-A: 1\r\n Transfer-Encoding: chunked\r\n" + length + "\r\nhello");
+    checkBroken("HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n X-B: 2\r\n\r\n" + soundAnswer);
+}
+
 // Guards against a value that is passed on and ends a line early at whoever reads it next.
 TEST(BrokenAnswers, FieldValuesWithControlBytes)
 {
--- a/tests/system/brokenanswercases.cpp
+++ b/tests/system/brokenanswercases.cpp
@@ -32,6 +32,21 @@
                    "HTTP/1.1 000 X\r\n" + parts.fields + "\r\n" + soundAnswer(parts)});
 }
 
+void addFields(std::vector<BrokenAnswer> &all, const AnswerParts &parts)
+{
+    const std::string length = lengthField(parts.body);
+    all.push_back({"blank in a name", answer(Ok, "Some Name: 1\r\n" + length, parts)});
+    all.push_back({"blank behind a name", answer(Ok, "Name : 1\r\n" + length, parts)});
+    all.push_back({"blank before a name", answer(Ok, " Name: 1\r\n" + length, parts)});
+    all.push_back({"control byte in a name", answer(Ok, "Na\x01me: 1\r\n" + length, parts)});
+    all.push_back({"blank before the length", answer(Ok, " " + length, parts), true});
+    all.push_back({"blank before the coding",
+                   answer(Ok, " Transfer-Encoding: chunked\r\n",
+                          {parts.fields, chunkOf(parts.body) + "0\r\n\r\n"}),
+                   true});
+    all.push_back({"control byte in a value", answer(Ok, "Name: a\x01z\r\n" + length, parts)});
+}
+
 void addEnds(std::vector<BrokenAnswer> &all, const AnswerParts &parts)
 {
     const std::string length = lengthField(parts.body);
@@ -66,6 +81,7 @@
 {
     std::vector<BrokenAnswer> all;
     addStatuses(all, parts);
+    addFields(all, parts);
     addEnds(all, parts);
     return all;
 }
