An answer with a transfer coding that is not undone is no answer

What callers saw: bodies with "Transfer-Encoding: gzip, chunked", or with the field twice, or in an answer of HTTP/1.0, came through with the other coding in place; with "gzip" or "chunked, gzip" the raw chunks were passed on as the body, up to the end of the connection ("fleet serve").

Cause: the parser undoes chunks where the list of codings holds them last, and nobody looked at the rest of the list.

Change: only "chunked", once, in HTTP/1.1, is taken; anything else is a ProtocolError.

Evidence: http BrokenAnswers TransferCodingsThatAreNotUndone and the tables of system.brokenanswers and system.servebrokenanswers ("transfer coding gzip, chunked: status 200, body 'foreign'") failed before.

--- a/src/http/answercheck.cpp
+++ b/src/http/answercheck.cpp
@@ -1,5 +1,6 @@
 #include "http/answercheck.h"
 
+#include <algorithm>
 #include <string>
 
 namespace pistachiofall::detail {
@@ -36,4 +37,17 @@
     return Done{};
 }
 
+Result<Done> checkCodings(const HttpHeaders &headers, bool isHttp11)
+{
+    const auto isTransferCoding = [](const HttpHeader &field) {
+        return equalsIgnoringCase(field.name, "Transfer-Encoding");
+    };
+    const auto codings = std::count_if(headers.begin(), headers.end(), isTransferCoding);
+    const bool isChunked = equalsIgnoringCase(headers.get("Transfer-Encoding"), "chunked");
+    if (codings > 0 && (codings > 1 || !isChunked || !isHttp11))
+        return Error{ErrorCode::ProtocolError,
+                     "the answer has a transfer coding other than chunks"};
+    return Done{};
+}
+
 } // namespace pistachiofall::detail
--- a/src/http/answercheck.h
+++ b/src/http/answercheck.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "http/answerhead.h"
 
 #include <string_view>
 
@@ -13,4 +14,8 @@
 /// ProtocolError for a status outside 100 to 599.
 Result<Done> checkStatus(unsigned status);
 
+/// ProtocolError for the head of a final answer with a transfer coding other than "chunked", which
+/// no reader undoes.
+Result<Done> checkCodings(const HttpHeaders &headers, bool isHttp11);
+
 } // namespace pistachiofall::detail
--- a/src/http/answerreader.cpp
+++ b/src/http/answerreader.cpp
@@ -17,6 +17,8 @@
 constexpr int MaxInterimAnswers = 16;
 constexpr unsigned MinFinalStatus = 200;
 constexpr unsigned SwitchingProtocols = 101;
+// A version as the parser gives it.
+constexpr unsigned Http11 = 11;
 
 Error readError(const boost::system::error_code &error)
 {
@@ -107,6 +109,9 @@
         const auto value = field.value();
         head.headers.add({name.data(), name.size()}, {value.data(), value.size()});
     }
+    const Result<Done> codings = checkCodings(head.headers, parser.get().version() == Http11);
+    if (!isOk(codings))
+        return errorOf(codings);
     // The end of such an answer is the end of the connection, also when that broke.
     if (!m_acceptsEndByClose && !parser.is_done() && parser.need_eof())
         return Error{ErrorCode::ProtocolError, "the answer has neither a length nor chunks"};
--- a/tests/http/brokenanswerstest.cpp
+++ b/tests/http/brokenanswerstest.cpp
@@ -157,6 +157,17 @@
         checkBroken(joined({ok, "X-A: ", value, "\r\n", hello}));
 }
 
+// Guards against a body that is passed on although a coding has not been undone.
+TEST(BrokenAnswers, TransferCodingsThatAreNotUndone)
+{
+    for (const char *coding :
+         {"gzip, chunked", "chunked, gzip", "gzip", "identity", "chunked, chunked",
+          "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: gzip",
+          "chunked\r\nTransfer-Encoding: chunked", "xchunked", "chunked;q=1", ""})
+        checkBroken(joined({ok, "Transfer-Encoding: ", coding, "\r\n", chunkedHello}));
+    checkBroken("HTTP/1.0 200 OK\r\n" + chunked + chunkedHello);
+}
+
 // Guards against a body that is read up to another place than its sender meant.
 TEST(BrokenAnswers, BodiesWhoseEndIsNotKnown)
 {
--- a/tests/system/brokenanswercases.cpp
+++ b/tests/system/brokenanswercases.cpp
@@ -47,6 +47,14 @@
     all.push_back({"control byte in a value", answer(Ok, "Name: a\x01z\r\n" + length, parts)});
 }
 
+void addCodings(std::vector<BrokenAnswer> &all, const AnswerParts &parts)
+{
+    for (const char *coding : {"gzip, chunked", "chunked, gzip", "gzip"})
+        all.push_back({std::string("transfer coding ") + coding,
+                       chunkedAnswer(std::string("Transfer-Encoding: ") + coding + "\r\n", parts),
+                       true});
+}
+
 void addEnds(std::vector<BrokenAnswer> &all, const AnswerParts &parts)
 {
     const std::string length = lengthField(parts.body);
@@ -82,6 +90,7 @@
     std::vector<BrokenAnswer> all;
     addStatuses(all, parts);
     addFields(all, parts);
+    addCodings(all, parts);
     addEnds(all, parts);
     return all;
 }
