A body in a content coding is not the endpoint's body

What callers saw: an answer with Content-Encoding was passed on. "serve" even took the field away, so that its callers and its batch results had coded bytes without any word of it.

Cause: no request asks for a coding, so nobody looked whether an answer has one.

Evidence: http BrokenAnswers BodiesInAContentCoding and the tables of system.brokenanswers and system.servebrokenanswers ("content coding: status 200, body 'foreign'") failed before.

--- a/src/http/answercheck.cpp
+++ b/src/http/answercheck.cpp
@@ -47,6 +47,8 @@
     if (codings > 0 && (codings > 1 || !isChunked || !isHttp11))
         return Error{ErrorCode::ProtocolError,
                      "the answer has a transfer coding other than chunks"};
+    if (headers.contains("Content-Encoding"))
+        return Error{ErrorCode::ProtocolError, "the answer is in a content coding"};
     return Done{};
 }
 
--- a/src/http/answercheck.h
+++ b/src/http/answercheck.h
@@ -14,8 +14,9 @@
 /// ProtocolError for a status outside 100 to 599.
 Result<Done> checkStatus(unsigned status);
 
-/// ProtocolError for the head of a final answer with a transfer coding other than "chunked", which
-/// no reader undoes.
+/// ProtocolError for the head of a final answer whose body a reader can not take for what the
+/// sender has: one with a transfer coding other than "chunked", or one in a content coding, which
+/// no request of this system asks for.
 Result<Done> checkCodings(const HttpHeaders &headers, bool isHttp11);
 
 } // namespace pistachiofall::detail
--- a/tests/http/brokenanswerstest.cpp
+++ b/tests/http/brokenanswerstest.cpp
@@ -208,6 +208,18 @@
         checkCut(head, {{head + "hel"}, false, true, true}, UploadBytes);
 }
 
+// Guards against bytes in a content coding that are passed on as the endpoint's body.
+TEST(BrokenAnswers, BodiesInAContentCoding)
+{
+    for (const char *coding : {"gzip", "br", "identity", "x-unknown", "gzip, gzip", ""}) {
+        const std::string field = std::string("Content-Encoding: ") + coding + "\r\n";
+        checkBroken(joined({ok, field, hello}));
+        checkBroken(joined({ok, field, chunked, chunkedHello}));
+        checkBroken(joined({"HTTP/1.1 500 Internal Server Error\r\n", field, hello}));
+    }
+    checkBroken(ok + "content-encoding: gzip\r\n" + hello);
+}
+
 // Guards against checks that take sound answers for broken ones.
 TEST(BrokenAnswers, SoundAnswersInUnusualForms)
 {
--- a/tests/system/brokenanswercases.cpp
+++ b/tests/system/brokenanswercases.cpp
@@ -49,10 +49,12 @@
 
 void addCodings(std::vector<BrokenAnswer> &all, const AnswerParts &parts)
 {
+    const std::string length = lengthField(parts.body);
     for (const char *coding : {"gzip, chunked", "chunked, gzip", "gzip"})
         all.push_back({std::string("transfer coding ") + coding,
                        chunkedAnswer(std::string("Transfer-Encoding: ") + coding + "\r\n", parts),
                        true});
+    all.push_back({"content coding", answer(Ok, "Content-Encoding: gzip\r\n" + length, parts)});
 }
 
 void addEnds(std::vector<BrokenAnswer> &all, const AnswerParts &parts)
