Answers of the store are read by the reader of endpoints' answers

What could be seen: a write that the store answered with status 000, 099 or an interim answer counted as not carried out; answers with continued lines, other transfer codings or a content coding passed as what the store has, and as its word on a write or a removal.

Cause: the store client and its watch read answers on their own, with the parser's idea of an answer, so that none of the checks of endpoints' answers held for them.

Change: AnswerReader reads from either kind of connection (ByteSource); httpCall() and the watch use it. A broken answer to a write is OutcomeUnknown, to a read ProtocolError, and the connection is not kept. Interim answers are passed over.

callerrortest: errors of the HTTP parser no longer reach connectionError(); the checks for them are replaced by checks of answerReadError() for each error of AnswerReader, reads and writes.

--- a/src/http/answerreader.cpp
+++ b/src/http/answerreader.cpp
@@ -23,7 +23,7 @@
 Error readError(const boost::system::error_code &error)
 {
     if (error == asio::error::timed_out)
-        return {ErrorCode::TimedOut, "the endpoint sent nothing in time"};
+        return {ErrorCode::TimedOut, "nothing was sent in time"};
     if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor)
         return {ErrorCode::Cancelled, "the call was cancelled"};
     return {ErrorCode::OutcomeUnknown,
@@ -35,9 +35,8 @@
 struct AnswerReader::Parser : MessageParser<false>
 { };
 
-AnswerReader::AnswerReader(std::shared_ptr<HttpStream> stream, std::string_view method,
-                           bool acceptsEndByClose)
-    : m_stream(std::move(stream))
+AnswerReader::AnswerReader(ByteSource source, std::string_view method, bool acceptsEndByClose)
+    : m_source(std::move(source))
     , m_parser(std::make_unique<Parser>())
     , m_isHeadRequest(method == "HEAD")
     , m_acceptsEndByClose(acceptsEndByClose)
@@ -59,10 +58,10 @@
             && m_parser->buffer.size() == 0;
 }
 
-asio::awaitable<Result<Done>> AnswerReader::fillBuffer(HttpStream::TimePoint deadline)
+asio::awaitable<Result<Done>> AnswerReader::fillBuffer(TimePoint deadline)
 {
     const auto space = m_parser->buffer.prepare(Parser::MaxPieceBytes);
-    const IoOutcome outcome = co_await m_stream->readSome(space, deadline);
+    const IoOutcome outcome = co_await readSome(m_source, space, deadline);
     if (outcome.error == asio::error::eof && endsByClose()) {
         boost::system::error_code error;
         m_parser->parser->put_eof(error);
@@ -76,7 +75,7 @@
     co_return Done{};
 }
 
-asio::awaitable<Result<Done>> AnswerReader::parseHead(HttpStream::TimePoint deadline)
+asio::awaitable<Result<Done>> AnswerReader::parseHead(TimePoint deadline)
 {
     while (!m_parser->parser->is_header_done()) {
         // The parser would join such a line to the field before it.
@@ -118,7 +117,7 @@
     return head;
 }
 
-asio::awaitable<Result<AnswerHead>> AnswerReader::readHead(HttpStream::TimePoint deadline)
+asio::awaitable<Result<AnswerHead>> AnswerReader::readHead(TimePoint deadline)
 {
     int interimAnswers = 0;
     for (;;) {
@@ -138,7 +137,7 @@
     }
 }
 
-asio::awaitable<Result<std::string>> AnswerReader::readBodySome(HttpStream::TimePoint deadline)
+asio::awaitable<Result<std::string>> AnswerReader::readBodySome(TimePoint deadline)
 {
     std::string piece;
     while (!isComplete()) {
--- a/src/store/callerror.cpp
+++ b/src/store/callerror.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/http/error.hpp>
 
 namespace pistachiofall::store::detail {
 
@@ -13,12 +12,6 @@
 // The message of an answer that is no Status object, such as a page of a load balancer, is cut.
 constexpr std::size_t MaxBodyInMessage = 200;
 
-bool isCutOff(const boost::system::error_code &cause)
-{
-    return cause == boost::beast::http::error::end_of_stream
-            || cause == boost::beast::http::error::partial_message;
-}
-
 ErrorCode connectionErrorCode(CallKind kind, bool isSent, const boost::system::error_code &cause)
 {
     if (cause == boost::asio::error::operation_aborted && (!isSent || !isWrite(kind)))
@@ -27,11 +20,18 @@
         return ErrorCode::Unavailable;
     if (cause == boost::beast::error::timeout)
         return ErrorCode::TimedOut;
+    return isWrite(kind) ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable;
+}
+
+ErrorCode answerReadErrorCode(CallKind kind, ErrorCode cause)
+{
+    if (cause == ErrorCode::TimedOut)
+        return ErrorCode::TimedOut;
     if (isWrite(kind))
         return ErrorCode::OutcomeUnknown;
-    const bool isHttpError =
-            cause.category() == make_error_code(boost::beast::http::error::bad_method).category();
-    return isHttpError && !isCutOff(cause) ? ErrorCode::ProtocolError : ErrorCode::Unavailable;
+    if (cause == ErrorCode::Cancelled)
+        return ErrorCode::Cancelled;
+    return cause == ErrorCode::OutcomeUnknown ? ErrorCode::Unavailable : ErrorCode::ProtocolError;
 }
 
 ErrorCode clientErrorCode(CallKind kind, unsigned status, const std::string &reason)
@@ -75,6 +75,12 @@
                     + (isSent ? "after it was sent: " : "before it was sent: ") + cause.message()};
 }
 
+Error answerReadError(CallKind kind, const Error &cause)
+{
+    return {answerReadErrorCode(kind, cause.code),
+            "store call '" + std::string(toString(kind)) + "' got no answer: " + cause.message};
+}
+
 Error answerError(CallKind kind, unsigned status, std::string_view body)
 {
     std::string reason;
--- a/src/store/httpcall.cpp
+++ b/src/store/httpcall.cpp
@@ -10,14 +10,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace pistachiofall::store::detail {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
+using pistachiofall::detail::AnswerReader;
 
 namespace {
 
@@ -54,18 +53,13 @@
         pool->clear();
         co_return errorOf(sent);
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(MaxAnswerBytes);
-    boost::system::error_code error;
-    co_await http::async_read(connection->stream, connection->buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
+    const auto reader = readerOf(*connection, request);
+    const Result<HttpAnswer> answer = co_await readAnswer(*reader, kind, deadline);
+    if (!isOk(answer))
         pool->clear();
-        co_return connectionError(kind, true, error);
-    }
-    if (parser.get().keep_alive() && connection->buffer.size() == 0)
+    else if (reader->isReusable())
         pool->put(std::move(connection));
-    co_return HttpAnswer{parser.get().result_int(), std::move(parser.get().body())};
+    co_return answer;
 }
 
 } // namespace
@@ -104,6 +98,45 @@
     co_return Done{};
 }
 
+std::unique_ptr<AnswerReader> readerOf(StoreConnection &connection, const HttpRequest &request)
+{
+    const auto method = request.method_string();
+    constexpr bool AcceptsEndByClose = true;
+    return std::make_unique<AnswerReader>(
+            &connection.stream, std::string_view(method.data(), method.size()), AcceptsEndByClose);
+}
+
+asio::awaitable<Result<std::string>> readBody(AnswerReader &reader, CallKind kind,
+                                              TimePoint deadline)
+{
+    std::string body;
+    for (;;) {
+        const Result<std::string> piece = co_await reader.readBodySome(deadline);
+        if (!isOk(piece))
+            co_return answerReadError(kind, errorOf(piece));
+        if (valueOf(piece).empty())
+            co_return body;
+        if (valueOf(piece).size() > MaxAnswerBytes - body.size())
+            co_return answerReadError(
+                    kind,
+                    {ErrorCode::TooLarge,
+                     "the answer is longer than " + std::to_string(MaxAnswerBytes) + " bytes"});
+        body += valueOf(piece);
+    }
+}
+
+asio::awaitable<Result<HttpAnswer>> readAnswer(AnswerReader &reader, CallKind kind,
+                                               TimePoint deadline)
+{
+    const Result<AnswerHead> head = co_await reader.readHead(deadline);
+    if (!isOk(head))
+        co_return answerReadError(kind, errorOf(head));
+    Result<std::string> body = co_await readBody(reader, kind, deadline);
+    if (!isOk(body))
+        co_return errorOf(body);
+    co_return HttpAnswer{valueOf(head).status, valueOf(std::move(body))};
+}
+
 asio::awaitable<Result<HttpAnswer>> httpCall(std::shared_ptr<ConnectionPool> pool, CallKind kind,
                                              HttpRequest request, std::chrono::milliseconds timeout)
 {
--- a/src/store/httpcall.h
+++ b/src/store/httpcall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "http/answerreader.h"
 #include "store/callkind.h"
 #include "store/connectionpool.h"
 
@@ -36,8 +37,22 @@
                                                  const boost::asio::ip::tcp::endpoint &endpoint,
                                                  const HttpRequest &request, CallKind kind);
 
+/// A reader of the answer that comes next on the connection, which must outlive it.
+std::unique_ptr<pistachiofall::detail::AnswerReader> readerOf(StoreConnection &connection,
+                                                              const HttpRequest &request);
+
+/// Reads the whole answer. The error is one of answerReadError().
+boost::asio::awaitable<Result<HttpAnswer>>
+readAnswer(pistachiofall::detail::AnswerReader &reader, CallKind kind,
+           std::chrono::steady_clock::time_point deadline);
+
+/// Reads the body of an answer whose head has been read. The error is one of answerReadError().
+boost::asio::awaitable<Result<std::string>>
+readBody(pistachiofall::detail::AnswerReader &reader, CallKind kind,
+         std::chrono::steady_clock::time_point deadline);
+
 /// Sends one request and reads the whole answer within the timeout, connect included. The error is
-/// one of connectionError().
+/// one of connectionError() or of answerReadError().
 boost::asio::awaitable<Result<HttpAnswer>> httpCall(std::shared_ptr<ConnectionPool> pool,
                                                     CallKind kind, HttpRequest request,
                                                     std::chrono::milliseconds timeout);
--- a/src/store/storeconnection.h
+++ b/src/store/storeconnection.h
@@ -4,7 +4,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 namespace pistachiofall::store::detail {
@@ -18,7 +17,6 @@
     { }
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
     std::chrono::steady_clock::time_point idleSince;
 };
 
--- a/src/store/watchcall.cpp
+++ b/src/store/watchcall.cpp
@@ -10,20 +10,20 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 namespace pistachiofall::store::detail {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
+using pistachiofall::detail::AnswerReader;
 
 namespace {
 
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusGone = 410;
+
 using TimePoint = std::chrono::steady_clock::time_point;
-using Parser = http::response_parser<http::string_body>;
 
 // How a watch ended. Nothing: the version is too old for the store.
 using WatchEnd = std::optional<Result<StoredObject>>;
@@ -108,32 +108,29 @@
     return end;
 }
 
-// Reads the answer to a watch that the store refused.
-asio::awaitable<WatchEnd> readRefusal(StoreConnection &connection, Parser &parser)
+// Reads the rest of the answer to a watch that the store refused.
+asio::awaitable<WatchEnd> readRefusal(AnswerReader &reader, unsigned status, TimePoint deadline)
 {
-    boost::system::error_code error;
-    co_await http::async_read(connection.stream, connection.buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
-    if (error)
-        co_return watchError(connectionError(CallKind::Watch, true, error));
-    constexpr unsigned GoneStatus = 410;
-    if (parser.get().result_int() == GoneStatus)
+    const Result<std::string> body = co_await readBody(reader, CallKind::Watch, deadline);
+    if (!isOk(body))
+        co_return watchError(errorOf(body));
+    if (status == StatusGone)
         co_return WatchEnd();
-    co_return answerError(CallKind::Watch, parser.get().result_int(), parser.get().body());
+    co_return answerError(CallKind::Watch, status, valueOf(body));
 }
 
 // Reads events until one ends the watch or the store does.
-asio::awaitable<WatchEnd> readEvents(StoreConnection &connection, Parser &parser,
-                                     std::string version, WatchTimes times)
+asio::awaitable<WatchEnd> readEvents(AnswerReader &reader, std::string version, WatchTimes times)
 {
-    connection.stream.expires_at(times.deadline);
-    while (!parser.is_done()) {
-        boost::system::error_code error;
-        co_await http::async_read_some(connection.stream, connection.buffer, parser,
-                                       asio::redirect_error(asio::use_awaitable, error));
-        if (error)
-            co_return watchError(connectionError(CallKind::Watch, true, error));
-        const auto end = handleLines(parser.get().body(), version);
+    std::string text;
+    for (;;) {
+        const Result<std::string> piece = co_await reader.readBodySome(times.deadline);
+        if (!isOk(piece))
+            co_return watchError(answerReadError(CallKind::Watch, errorOf(piece)));
+        if (valueOf(piece).empty())
+            break;
+        text += valueOf(piece);
+        const auto end = handleLines(text, version);
         if (end)
             co_return *end;
     }
@@ -150,20 +147,17 @@
                                                    run.httpRequest, CallKind::Watch);
     if (!isOk(sent))
         co_return watchError(errorOf(sent));
-    Parser parser;
-    // The limit holds for each event, not for the sum of all.
-    parser.body_limit(boost::none);
-    boost::system::error_code error;
-    co_await http::async_read_header(connection.stream, connection.buffer, parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
-    if (error)
-        co_return watchError(connectionError(CallKind::Watch, true, error));
+    const auto reader = readerOf(connection, run.httpRequest);
+    const Result<AnswerHead> head = co_await reader->readHead(run.times.headDeadline);
+    if (!isOk(head))
+        co_return watchError(answerReadError(CallKind::Watch, errorOf(head)));
+    const unsigned status = valueOf(head).status;
     WatchEnd end;
-    if (parser.get().result() == http::status::ok)
-        end = co_await readEvents(connection, parser, run.version, run.times);
+    if (status == StatusOk)
+        end = co_await readEvents(*reader, run.version, run.times);
     else
-        end = co_await readRefusal(connection, parser);
-    if (parser.is_done() && parser.get().keep_alive() && connection.buffer.size() == 0)
+        end = co_await readRefusal(*reader, status, run.times.headDeadline);
+    if (reader->isReusable())
         run.pool->put(std::move(run.connection));
     co_return end;
 }
--- a/tests/platform/objectclienttest.cpp
+++ b/tests/platform/objectclienttest.cpp
@@ -2,9 +2,10 @@
 
 #include "base/systemclock.h"
 #include "common/listener.h"
+#include "support/joined.h"
 
 #include <array>
-#include <optional>
+#include <future>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 
 #include <CppUTest/TestHarness.h>
@@ -100,14 +102,10 @@
     template<typename T>
     Result<T> await(ObjectSpace::Async<T> operation)
     {
-        std::optional<Result<T>> result;
-        boost::asio::co_spawn(context, std::move(operation),
-                              [&result](const std::exception_ptr &, Result<T> value) {
-                                  result = std::move(value);
-                              });
-        while (!result)
+        auto result = boost::asio::co_spawn(context, std::move(operation), boost::asio::use_future);
+        while (result.wait_for(milliseconds{0}) != std::future_status::ready)
             context.run_one();
-        return std::move(*result);
+        return result.get();
     }
 
     static SpaceObject named(const std::string &name)
@@ -166,3 +164,42 @@
               || errorOf(written).code == ErrorCode::TimedOut);
     }
 }
+
+// Guards against an answer that breaks the protocol and is taken for what the store has, or for its
+// word that a write was or was not carried out.
+TEST(ObjectClient, AnAnswerThatBreaksTheProtocolIsNone)
+{
+    const std::string rest = answer("one", 5).substr(std::string("HTTP/1.1 200 OK\r\n").size());
+    std::vector<std::string> broken;
+    for (const char *status : {"000", "099", "600", "999"})
+        broken.push_back("HTTP/1.1 " + std::string(status) + " X\r\n" + rest);
+    for (const char *status : {"200 OK", "404 Not Found", "409 Conflict", "503 Busy"}) {
+        const std::string line = "HTTP/1.1 " + std::string(status) + "\r\n";
+        for (const char *field : {"Some Name: 1", "X-A: 1\r\n Name: 1", "X\x01Y: 1",
+                                  "Content-Encoding: gzip", "Transfer-Encoding: chunked"})
+            broken.push_back(tests::joined({line, field, "\r\n", rest}));
+        for (const char *coding : {"gzip, chunked", "gzip"})
+            broken.push_back(
+                    tests::joined({line, "Transfer-Encoding: ", coding, "\r\n\r\n0\r\n\r\n"}));
+    }
+    for (const std::string &bytes : broken) {
+        const ScriptedStore store(context.get_executor(), {{bytes}, {bytes}, {bytes}});
+        const auto client = connect(store);
+        const auto read = await(client->get("jobs", "one"));
+        CHECK_TEXT(!isOk(read) && errorOf(read).code == ErrorCode::ProtocolError, bytes.c_str());
+        const auto written = await(client->replaceStatus("jobs", named("one")));
+        CHECK_TEXT(!isOk(written) && errorOf(written).code == ErrorCode::OutcomeUnknown,
+                   bytes.c_str());
+        const auto removed = await(client->remove("jobs", "one"));
+        CHECK_TEXT(!isOk(removed) && errorOf(removed).code == ErrorCode::OutcomeUnknown,
+                   bytes.c_str());
+    }
+}
+
+// Guards against an interim answer that is taken for the answer.
+TEST(ObjectClient, AnInterimAnswerIsPassedOver)
+{
+    const ScriptedStore store(context.get_executor(),
+                              {{"HTTP/1.1 100 Continue\r\n\r\n" + answer("one", 5)}});
+    CHECK(isOk(await(connect(store)->get("jobs", "one"))));
+}
--- a/tests/store/callerrortest.cpp
+++ b/tests/store/callerrortest.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/http/error.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -23,6 +22,12 @@
     LONGS_EQUAL(static_cast<int>(expected),
                 static_cast<int>(connectionError(kind, isSent, cause).code));
 }
+
+void checkRead(ErrorCode expected, CallKind kind, ErrorCode cause)
+{
+    LONGS_EQUAL(static_cast<int>(expected),
+                static_cast<int>(answerReadError(kind, Error{cause, "m"}).code));
+}
 }
 ;
 
@@ -32,10 +37,13 @@
     const auto reset = boost::asio::error::connection_reset;
     const auto timeout = boost::beast::error::timeout;
     const auto aborted = boost::asio::error::operation_aborted;
-    const auto cutOff = boost::beast::http::error::partial_message;
     for (const CallKind kind : {CallKind::Create, CallKind::Update, CallKind::Remove}) {
         checkConnection(ErrorCode::OutcomeUnknown, kind, true, reset);
-        checkConnection(ErrorCode::OutcomeUnknown, kind, true, cutOff);
+        checkRead(ErrorCode::OutcomeUnknown, kind, ErrorCode::OutcomeUnknown);
+        checkRead(ErrorCode::OutcomeUnknown, kind, ErrorCode::ProtocolError);
+        checkRead(ErrorCode::OutcomeUnknown, kind, ErrorCode::TooLarge);
+        checkRead(ErrorCode::OutcomeUnknown, kind, ErrorCode::Cancelled);
+        checkRead(ErrorCode::TimedOut, kind, ErrorCode::TimedOut);
         checkConnection(ErrorCode::OutcomeUnknown, kind, true, aborted);
         checkConnection(ErrorCode::TimedOut, kind, true, timeout);
         checkConnection(ErrorCode::Unavailable, kind, false, reset);
@@ -52,10 +60,11 @@
 {
     checkConnection(ErrorCode::Unavailable, CallKind::Get, true,
                     boost::asio::error::connection_reset);
-    checkConnection(ErrorCode::Unavailable, CallKind::Get, true,
-                    boost::beast::http::error::end_of_stream);
-    checkConnection(ErrorCode::ProtocolError, CallKind::Get, true,
-                    boost::beast::http::error::bad_version);
+    checkRead(ErrorCode::Unavailable, CallKind::Get, ErrorCode::OutcomeUnknown);
+    checkRead(ErrorCode::ProtocolError, CallKind::Get, ErrorCode::ProtocolError);
+    checkRead(ErrorCode::ProtocolError, CallKind::Get, ErrorCode::TooLarge);
+    checkRead(ErrorCode::TimedOut, CallKind::Get, ErrorCode::TimedOut);
+    checkRead(ErrorCode::Cancelled, CallKind::Get, ErrorCode::Cancelled);
     checkConnection(ErrorCode::TimedOut, CallKind::Get, true, boost::beast::error::timeout);
     checkConnection(ErrorCode::Cancelled, CallKind::Get, true,
                     boost::asio::error::operation_aborted);
