Commands do not take a part of an answer for the whole

What callers saw: "job submit", and the batch part of "load", took a part of an answer for the whole when an instance answered a long upload at once without a length and reset the connection meanwhile.

Cause: callCallerApi() goes on to the answer when the request can not be written, as an instance may refuse it early. The error of a connection is reported once: the writer had got the reset, so that the reader saw an orderly end, which ends an answer without a length. Endpoints, the store and the requests of "load" never read an answer after a failed write.

An early answer that is whole still counts. A reset within an answer counts as "cut" in the report of a load, where it was "error".

--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -70,6 +70,9 @@
     foreach(name base metrics coord rules rollout settings slo store wire http batch node fleet serving
                  platform cli)
         file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cpp)
+        if(name STREQUAL "cli")
+            list(APPEND sources ${CMAKE_SOURCE_DIR}/tests/http/rawendpoint.cpp)
+        endif()
         if(sources)
             add_executable(test_${name} ${sources} ${CMAKE_SOURCE_DIR}/tests/main.cpp)
             target_link_libraries(test_${name} PRIVATE pf_${name} pf_standins pf_warnings
--- a/src/cli/callerapi.cpp
+++ b/src/cli/callerapi.cpp
@@ -1,12 +1,20 @@
 #include "cli/callerapi.h"
 
-#include <array>
-#include <utility>
+#include "http/answerreader.h"
 
+#include <future>
+#include <string>
+
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
 #include <boost/json.hpp>
 
 namespace pistachiofall {
@@ -17,35 +25,8 @@
 
 namespace {
 
-constexpr std::size_t ReadBufferBytes = 64 * 1024;
 constexpr std::size_t MaxErrorBytes = 64 * 1024;
 
-/// A connection on which each asynchronous operation blocks until it completes or times out.
-class BlockingConnection
-{
-public:
-    explicit BlockingConnection(std::chrono::milliseconds timeout)
-        : m_timeout(timeout)
-        , m_stream(m_context)
-    { }
-
-    template<typename Start>
-    boost::system::error_code run(Start start)
-    {
-        boost::system::error_code result;
-        m_stream.expires_after(m_timeout);
-        start(m_stream, [&result](boost::system::error_code error, auto &&...) { result = error; });
-        m_context.restart();
-        m_context.run();
-        return result;
-    }
-
-private:
-    std::chrono::milliseconds m_timeout;
-    asio::io_context m_context;
-    boost::beast::tcp_stream m_stream;
-};
-
 http::request<http::string_body> makeRequest(const CallerApiRequest &request)
 {
     http::request<http::string_body> message;
@@ -78,57 +59,76 @@
     return {ErrorCode::Unavailable, "the instance answered with status " + std::to_string(status)};
 }
 
-} // namespace
+bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
 
-Result<Done> callCallerApi(const CallerApiRequest &request,
-                           const std::function<void(std::string_view)> &onBody)
+// Connects and sends the request. Fails only if there is no connection: an instance may reject a
+// request before it has read the whole body, and its answer is there to be read although the rest
+// can not be written.
+asio::awaitable<Result<Done>> sendRequest(boost::beast::tcp_stream &stream,
+                                          const CallerApiRequest &request)
 {
-    BlockingConnection apiConnection(request.timeout);
     const tcp::endpoint endpoint(asio::ip::make_address(request.address.host()),
                                  request.address.port());
-    auto error = apiConnection.run(
-            [&](auto &stream, auto done) { stream.async_connect(endpoint, std::move(done)); });
+    boost::system::error_code error;
+    stream.expires_after(request.timeout);
+    co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (error)
-        return Error{ErrorCode::Unavailable,
-                     "cannot connect to " + request.address.toString() + ": " + error.message()};
+        co_return Error{ErrorCode::Unavailable,
+                        "cannot connect to " + request.address.toString() + ": " + error.message()};
     const auto message = makeRequest(request);
-    apiConnection.run(
-            [&](auto &stream, auto done) { http::async_write(stream, message, std::move(done)); });
-    // The server may reject a request before it has read the whole body, so the response is read
-    // even when the write fails.
-    boost::beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
-    const auto incompleteAnswer = [](const boost::system::error_code &reason) {
-        return Error{ErrorCode::OutcomeUnknown, "no complete answer: " + reason.message()};
-    };
-    error = apiConnection.run([&](auto &stream, auto done) {
-        http::async_read_header(stream, buffer, parser, std::move(done));
-    });
-    if (error)
-        return incompleteAnswer(error);
-    const unsigned status = parser.get().result_int();
-    const bool isSuccess = status >= 200 && status < 300;
+    boost::system::error_code ignored;
+    stream.expires_after(request.timeout);
+    co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, ignored));
+    co_return Done{};
+}
+
+Error incompleteAnswer(const Error &cause)
+{
+    return {ErrorCode::OutcomeUnknown, "no complete answer: " + cause.message};
+}
+
+asio::awaitable<Result<Done>> exchange(const CallerApiRequest &request, const BodyHandler &onBody)
+{
+    boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
+    const Result<Done> sent = co_await sendRequest(stream, request);
+    if (!isOk(sent))
+        co_return errorOf(sent);
+    // Instances mark the end of each answer. After a write that failed, the end of the connection
+    // would not tell whether the answer is whole.
+    detail::AnswerReader reader(&stream, request.method);
+    const auto deadline = [&request] { return std::chrono::steady_clock::now() + request.timeout; };
+    const Result<AnswerHead> head = co_await reader.readHead(deadline());
+    if (!isOk(head))
+        co_return incompleteAnswer(errorOf(head));
+    const unsigned status = valueOf(head).status;
     std::string errorBody;
-    std::array<char, ReadBufferBytes> readBuffer{};
-    while (!parser.is_done()) {
-        parser.get().body().data = readBuffer.data();
-        parser.get().body().size = readBuffer.size();
-        error = apiConnection.run([&](auto &stream, auto done) {
-            http::async_read(stream, buffer, parser, std::move(done));
-        });
-        if (error && error != http::error::need_buffer)
-            return incompleteAnswer(error);
-        const std::string_view bytes(readBuffer.data(),
-                                     readBuffer.size() - parser.get().body().size);
-        if (isSuccess)
-            onBody(bytes);
+    for (;;) {
+        const Result<std::string> piece = co_await reader.readBodySome(deadline());
+        if (!isOk(piece))
+            co_return incompleteAnswer(errorOf(piece));
+        if (valueOf(piece).empty())
+            break;
+        if (isSuccess(status))
+            onBody(valueOf(piece));
         else if (errorBody.size() < MaxErrorBytes)
-            errorBody += bytes;
+            errorBody += valueOf(piece);
     }
-    if (!isSuccess)
-        return errorOfAnswer(status, errorBody);
-    return Done{};
+    if (!isSuccess(status))
+        co_return errorOfAnswer(status, errorBody);
+    co_return Done{};
+}
+
+} // namespace
+
+Result<Done> callCallerApi(const CallerApiRequest &request, const BodyHandler &onBody)
+{
+    asio::io_context context;
+    auto result = asio::co_spawn(context, exchange(request, onBody), asio::use_future);
+    context.run();
+    return result.get();
 }
 
 } // namespace pistachiofall
--- a/src/cli/callerapi.h
+++ b/src/cli/callerapi.h
@@ -24,10 +24,13 @@
     std::chrono::milliseconds timeout{30'000};
 };
 
+/// Takes the next bytes of the body of an answer.
+using BodyHandler = std::function<void(std::string_view)>;
+
 /// Sends the request, blocks until the response is complete, and passes the body of a 2xx response
 /// to onBody as it arrives. Any other status gives Unavailable with the message of the response
-/// body. Unavailable when the connection fails, OutcomeUnknown when the response is incomplete.
-Result<Done> callCallerApi(const CallerApiRequest &request,
-                           const std::function<void(std::string_view)> &onBody);
+/// body. Unavailable when the connection fails, OutcomeUnknown when the response is incomplete or
+/// broken.
+Result<Done> callCallerApi(const CallerApiRequest &request, const BodyHandler &onBody);
 
 } // namespace pistachiofall
--- a/src/cli/loadcall.cpp
+++ b/src/cli/loadcall.cpp
@@ -1,5 +1,6 @@
 #include "cli/loadcall.h"
 
+#include "http/answerreader.h"
 #include "http/completionstreamcheck.h"
 
 #include <utility>
@@ -8,8 +9,10 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
 
 namespace pistachiofall {
 
@@ -24,14 +27,17 @@
 constexpr std::uint64_t MaxAnswerBytes = std::uint64_t{64} << 20U;
 constexpr unsigned StatusOk = 200;
 
-using Parser = http::response_parser<http::string_body>;
-
 std::string outcomeOf(const Failure &failure)
 {
-    if (failure == beast::error::timeout)
+    return failure == beast::error::timeout ? "timeout" : "error";
+}
+
+std::string outcomeOf(const Error &failure, const detail::AnswerReader &reader)
+{
+    if (failure.code == ErrorCode::TimedOut)
         return "timeout";
-    // The peer closed the connection before the end of the response.
-    if (failure == http::error::partial_message)
+    // The connection ended before the answer did.
+    if (failure.code == ErrorCode::OutcomeUnknown && reader.hasAnyByte())
         return "cut";
     return "error";
 }
@@ -97,22 +103,50 @@
     co_return failure;
 }
 
-asio::awaitable<Failure> readAnswer(beast::tcp_stream &connection, Parser &parser,
-                                    TokenTimes &tokens)
+// Reads the rest of an answer. Returns what is wrong with it.
+asio::awaitable<std::optional<Error>> readBody(detail::AnswerReader &reader, unsigned status,
+                                               steady_clock::time_point deadline,
+                                               TokenTimes &tokens)
 {
-    Failure failure;
-    beast::flat_buffer buffer;
-    parser.body_limit(MaxAnswerBytes);
-    co_await http::async_read_header(connection, buffer, parser,
-                                     asio::redirect_error(asio::use_awaitable, failure));
-    while (!failure && !parser.is_done()) {
-        co_await http::async_read_some(connection, buffer, parser,
-                                       asio::redirect_error(asio::use_awaitable, failure));
-        if (parser.get().result_int() == StatusOk)
-            tokens.feed(parser.get().body());
-        parser.get().body().clear();
+    std::uint64_t bodyBytes = 0;
+    for (;;) {
+        const Result<std::string> piece = co_await reader.readBodySome(deadline);
+        if (!isOk(piece))
+            co_return errorOf(piece);
+        if (valueOf(piece).empty())
+            co_return std::nullopt;
+        bodyBytes += valueOf(piece).size();
+        if (bodyBytes > MaxAnswerBytes)
+            co_return Error{ErrorCode::TooLarge, "the answer is too long"};
+        if (status == StatusOk)
+            tokens.feed(valueOf(piece));
+    }
+}
+
+// Reads the answer and sets the outcome. Keeps the connection if it can be used again.
+asio::awaitable<void> readAnswer(LoadCall &call, LoadCallResult &result)
+{
+    TokenTimes tokens(call.intendedSendTime, result);
+    detail::AnswerReader reader(call.connection.get(), "POST");
+    const Result<AnswerHead> head = co_await reader.readHead(call.deadline);
+    if (!isOk(head)) {
+        result.outcome = outcomeOf(errorOf(head), reader);
+        co_return;
+    }
+    const unsigned status = valueOf(head).status;
+    const std::optional<Error> failure = co_await readBody(reader, status, call.deadline, tokens);
+    if (failure) {
+        result.outcome = outcomeOf(*failure, reader);
+        co_return;
+    }
+    const bool isCut = call.isStream && status == StatusOk && !tokens.isComplete();
+    result.outcome = isCut ? "cut" : std::to_string(status);
+    if (reader.isReusable() && !isCut)
+        result.connection = std::move(call.connection);
+    if (!call.isStream) {
+        result.firstToken.reset();
+        result.gaps.clear();
     }
-    co_return failure;
 }
 
 } // namespace
@@ -129,24 +163,11 @@
         co_await http::async_write(*call.connection, request,
                                    asio::redirect_error(asio::use_awaitable, failure));
     }
-    Parser parser;
-    TokenTimes tokens(call.intendedSendTime, result);
-    if (!failure)
-        failure = co_await readAnswer(*call.connection, parser, tokens);
-    result.latency = steady_clock::now() - call.intendedSendTime;
-    if (failure) {
+    if (failure)
         result.outcome = outcomeOf(failure);
-        co_return result;
-    }
-    const unsigned status = parser.get().result_int();
-    const bool isCut = call.isStream && status == StatusOk && !tokens.isComplete();
-    result.outcome = isCut ? "cut" : std::to_string(status);
-    if (parser.get().keep_alive() && !isCut)
-        result.connection = std::move(call.connection);
-    if (!call.isStream) {
-        result.firstToken.reset();
-        result.gaps.clear();
-    }
+    else
+        co_await readAnswer(call, result);
+    result.latency = steady_clock::now() - call.intendedSendTime;
     co_return result;
 }
 
