A broken refusal is no refusal

What callers saw: an endpoint's 503 with Not-Run, or 421, whose body was cut, coded or malformed counted as a promise that the request has not run: one that may run once only was sent once more, or answered 503 with "run":"not_run". An item with such a 422 was given up for good, with such a 500 it counted as failed. An engine's cut answer to a command of a rollout counted as its word.

Cause: the head of these answers was believed before, or without, the body being read.

Change: EndpointCall::readRefusal() reads the rest, for 0.5 s at most; if it fails, the request may have run, and the item has not failed. EngineClient::load() looks at the outcome of its reading.

Evidence: system.brokenanswers BrokenRefusalIsNoRefusal failed before in all nine cases ("status 200, body 'sound' after 2 requests" for a request that may run once; "state":"dead").

--- a/src/http/calloptions.h
+++ b/src/http/calloptions.h
@@ -29,6 +29,8 @@
     std::chrono::milliseconds firstByteTimeout{30000};
     /// Between two pieces of the body.
     std::chrono::milliseconds gapTimeout{10000};
+    /// For the whole body of an answer that is read by EndpointCall::readRefusal().
+    std::chrono::milliseconds refusalTimeout{500};
     /// The longest body that is read; a longer one ends the call with TooLarge.
     std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max();
     /// Whether the orderly end of the connection may be the end of an answer that has neither a
--- a/src/http/endpointcall.cpp
+++ b/src/http/endpointcall.cpp
@@ -4,6 +4,7 @@
 #include "http/clientshared.h"
 #include "http/endpointrequesthead.h"
 
+#include <algorithm>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -58,6 +59,7 @@
     RequestSent sent = RequestSent::Nothing;
     std::optional<detail::AnswerReader> reader;
     HttpStream::TimePoint firstByteDeadline;
+    HttpStream::TimePoint bodyDeadline = HttpStream::NoDeadline;
     unsigned status = 0;
     bool hasBodyByte = false;
     std::size_t bodyBytes = 0;
@@ -234,7 +236,8 @@
         co_return data.fail(CallStage::Body, {ErrorCode::Internal, "no answer to read"});
     const auto deadline = data.hasBodyByte ? steady_clock::now() + data.options.gapTimeout
                                            : data.firstByteDeadline;
-    Result<std::string> piece = co_await data.reader->readBodySome(deadline);
+    Result<std::string> piece =
+            co_await data.reader->readBodySome(std::min(deadline, data.bodyDeadline));
     if (!isOk(piece))
         co_return data.fail(data.hasBodyByte ? CallStage::Body : CallStage::FirstByte,
                             errorOf(piece));
@@ -268,6 +271,12 @@
     }
 }
 
+asio::awaitable<CallResult<std::string>> EndpointCall::readRefusal()
+{
+    m_data->bodyDeadline = steady_clock::now() + m_data->options.refusalTimeout;
+    co_return co_await readAll(m_data->options.maxBodyBytes);
+}
+
 void EndpointCall::cancel()
 {
     const std::scoped_lock lock(m_data->mutex);
--- a/src/http/endpointcall.h
+++ b/src/http/endpointcall.h
@@ -41,6 +41,11 @@
     /// until the call is destroyed.
     boost::asio::awaitable<CallResult<std::string>> readAll(std::size_t maxBytes);
 
+    /// Reads the rest of an answer that says what became of the request, such as a refusal: short,
+    /// so it has to be complete within the refusal timeout. Until it is, the answer may be broken,
+    /// and what its head says must not be relied on.
+    boost::asio::awaitable<CallResult<std::string>> readRefusal();
+
     /// Closes the connection, so that the endpoint stops working on the request. What send() or
     /// readSome() wait for ends with Cancelled. Does nothing after a complete answer.
     void cancel();
--- a/src/node/engineclient.cpp
+++ b/src/node/engineclient.cpp
@@ -90,7 +90,9 @@
     const auto head = co_await call->send();
     if (!isOk(head))
         co_return CommandOutcome::Unknown;
-    co_await call->readAll(MaxAnswerBytes);
+    const auto body = co_await call->readAll(MaxAnswerBytes);
+    if (!isOk(body))
+        co_return CommandOutcome::Unknown;
     if (valueOf(head).status == Accepted)
         co_return CommandOutcome::Accepted;
     if (valueOf(head).status == Conflict)
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -370,7 +370,7 @@
     const ResponseKind kind = m_dependencies.protocol.classify(valueOf(responseHead), item.id);
     m_dependencies.leavingNotices.recordResponse(endpoint, valueOf(responseHead), kind);
     if (kind != ResponseKind::Success) {
-        handleFailureResponse(job, index, endpoint, valueOf(responseHead), kind);
+        co_await handleFailureResponse(job, index, endpoint, valueOf(responseHead), kind);
         co_return;
     }
     ItemOutput output(progress, m_dependencies.clock.now(), FirstEventTimeout, EventTimeout);
@@ -445,23 +445,32 @@
     return RetryDelay + milliseconds{static_cast<std::int64_t>(stableHash(key) % range.count())};
 }
 
-void JobRunner::handleFailureResponse(const JobPtr &job, std::size_t index,
-                                      const FleetEndpoint &endpoint, const AnswerHead &responseHead,
-                                      ResponseKind kind)
+asio::awaitable<void> JobRunner::handleFailureResponse(JobPtr job, std::size_t index,
+                                                       FleetEndpoint endpoint,
+                                                       AnswerHead responseHead, ResponseKind kind)
 {
     ItemProgress &progress = job->progress[index];
     progress.notBefore = m_dependencies.clock.now() + RetryDelay;
+    if (kind != ResponseKind::Unverified) {
+        const auto body = co_await progress.call->readRefusal();
+        if (!isOk(body)) {
+            // Does not tell whether the item has failed.
+            recordInterruption(job, index, endpoint, false,
+                               "broken failure response: " + failureOf(body).error.message);
+            co_return;
+        }
+    }
     progress.call->cancel();
     if (kind == ResponseKind::WrongEndpoint || kind == ResponseKind::Unverified)
         m_dependencies.board.recordFailure(progress.endpoint, m_dependencies.clock.now());
     if (kind != ResponseKind::Failure)
-        return;
+        co_return;
     if (responseHead.status == UnprocessableStatus)
         progress.failures.isUnprocessable = true;
     else if (responseHead.status >= MinServerErrorStatus)
         ++progress.failures.count;
     else
-        return;
+        co_return;
     if (!progress.failures.isUnprocessable)
         noteAnswer(progress, endpoint, true, {});
     m_dependencies.log.warning("item_failed",
@@ -471,7 +480,7 @@
                                 {"status", static_cast<int>(responseHead.status)},
                                 {"failures", progress.failures.count}});
     if (job->isReleased)
-        return;
+        co_return;
     m_writer.requestWrite(job);
     const std::string_view reason = reasonToGiveUp(*job, progress, m_dependencies.clock.wallNow());
     if (!reason.empty())
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -104,8 +104,9 @@
                             bool hasEndpointEnded, std::string_view reason);
     void noteEndpointEnd(const JobPtr &job, std::size_t index, const FleetEndpoint &endpoint);
     std::chrono::milliseconds retryDelay(const JobPtr &job, std::size_t index) const;
-    void handleFailureResponse(const JobPtr &job, std::size_t index, const FleetEndpoint &endpoint,
-                               const AnswerHead &responseHead, ResponseKind kind);
+    boost::asio::awaitable<void> handleFailureResponse(JobPtr job, std::size_t index,
+                                                       FleetEndpoint endpoint,
+                                                       AnswerHead responseHead, ResponseKind kind);
     void finishItem(const JobPtr &job, std::size_t index, JobResult result);
     void release(const JobPtr &job, std::string_view reason);
     JobAdopter::Callbacks adopterCallbacks();
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -312,11 +312,8 @@
         break;
     }
     case ResponseKind::NotRun:
-        noteFailure(context, attempt, "declined", false);
-        break;
     case ResponseKind::WrongEndpoint:
-        m_dependencies.board.recordFailure(endpoint.id, m_dependencies.clock.now());
-        noteFailure(context, attempt, "another process listens at the address", false);
+        co_await takeRefusal(context, attempt, kind);
         break;
     case ResponseKind::Unverified:
         noteFailure(context, attempt,
@@ -326,6 +323,23 @@
     }
 }
 
+// Reads the rest of a response that says that the request has not run. A broken one does not tell.
+asio::awaitable<void> OnlineService::takeRefusal(RequestContext &context, Attempt &attempt,
+                                                 ResponseKind kind)
+{
+    const auto body = co_await attempt.call->readRefusal();
+    if (!isOk(body)) {
+        noteFailure(context, attempt, "broken refusal: " + failureOf(body).error.message, true);
+        co_return;
+    }
+    if (kind == ResponseKind::NotRun) {
+        noteFailure(context, attempt, "declined", false);
+        co_return;
+    }
+    m_dependencies.board.recordFailure(attempt.placement.endpoint.id, m_dependencies.clock.now());
+    noteFailure(context, attempt, "another process listens at the address", false);
+}
+
 void OnlineService::noteCallFailure(RequestContext &context, Attempt &attempt,
                                     const CallFailure &failure)
 {
--- a/src/serving/onlineservice.h
+++ b/src/serving/onlineservice.h
@@ -70,6 +70,8 @@
 
     boost::asio::awaitable<void> attempt(ServerExchange &exchange, RequestContext &context);
     boost::asio::awaitable<void> send(RequestContext &context, Attempt &attempt);
+    boost::asio::awaitable<void> takeRefusal(RequestContext &context, Attempt &attempt,
+                                             ResponseKind kind);
     boost::asio::awaitable<void> forwardResponse(ServerExchange &exchange, RequestContext &context,
                                                  Attempt &attempt);
     boost::asio::awaitable<void> forwardBuffered(ServerExchange &exchange, RequestContext &context,
--- a/tests/system/brokenanswerstest.cpp
+++ b/tests/system/brokenanswerstest.cpp
@@ -248,6 +248,28 @@
     expectReply(events, caller.call("/talk/stream/x", upload), "stream");
 }
 
+// Guards against the word of a broken answer that the request has not run, or can never be done.
+TEST(BrokenAnswers, BrokenRefusalIsNoRefusal)
+{
+    const std::string refused = "HTTP/1.1 503 Busy\r\n" + sealed + "Not-Run: 1\r\n";
+    const std::string elsewhere = "HTTP/1.1 421 Misdirected\r\n" + sealed;
+    const std::string hopeless = "HTTP/1.1 422 Unprocessable\r\n" + sealed;
+    const std::string cut = "Content-Length: 100\r\n\r\npart";
+    const std::string coded = "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\npart";
+    const std::string badChunk = "Transfer-Encoding: chunked\r\n\r\nx\r\npart";
+    for (const std::string &end : {cut, coded, badChunk}) {
+        for (const std::string &head : {refused, elsewhere}) {
+            caller.recover();
+            caller.endpoint().setAnswers(
+                    {{{head + end}, true}, withBytes(soundAnswer(plainParts("sound")))});
+            expectError(caller.call("/once/x"), head + end);
+        }
+        const std::string result = caller.resultAfter(
+                {{{hopeless + end}, true}, withBytes(soundAnswer(streamParts(events)))});
+        expectOutput(result, hopeless + end);
+    }
+}
+
 // Guards against broken answers that leave no trace.
 TEST(BrokenAnswers, AreLoggedWithTheirReason)
 {
