--- a/src/http/answerhead.h
+++ b/src/http/answerhead.h
@@ -11,4 +11,10 @@
     HttpHeaders headers;
 };
 
+/// Whether the body of the answer is a stream of server-sent events.
+inline bool isEventStream(const AnswerHead &head)
+{
+    return head.headers.get("Content-Type").starts_with("text/event-stream");
+}
+
 } // namespace pistachiofall
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -59,6 +59,26 @@
     return left;
 }
 
+// Whether the answer is read to its end before it is passed on: then a broken one can be replaced
+// by that of another run. Items are run again by their job.
+bool isReadWhole(const ForwardRequest &request, const AnswerHead &head)
+{
+    return request.workClass == WorkClass::Online && request.idempotency == Idempotency::Idempotent
+            && !isEventStream(head);
+}
+
+// Appends the rest of the body to its beginning.
+asio::awaitable<std::optional<CallFailure>> readRest(EndpointCall &call, std::string &body)
+{
+    if (body.empty())
+        co_return std::nullopt;
+    CallResult<std::string> rest = co_await call.readAll(MaxWholeAnswerBytes);
+    if (!isOk(rest))
+        co_return failureOf(rest);
+    body += valueOf(rest);
+    co_return std::nullopt;
+}
+
 } // namespace
 
 /// How one attempt at one endpoint went.
@@ -217,11 +237,15 @@
         failure = failureOf(head);
     }
     const auto elapsed = duration_cast<milliseconds>(m_clock.now() - begin);
+    if (!failure && isReadWhole(request, valueOf(head)))
+        failure = co_await readRest(*call, piece);
     if (failure) {
         m_slots.release(lease, outcomeOf(*failure), std::nullopt);
         const bool hasRun = failure->sent == RequestSent::Possibly;
         result.error = {failure->error, hasRun ? RunState::Unknown : RunState::NotRun};
-        result.mayRetry = !hasRun || request.idempotency == Idempotency::Idempotent;
+        const bool mayRunAgain = request.idempotency == Idempotency::Idempotent
+                && failure->error.code != ErrorCode::TooLarge;
+        result.mayRetry = !hasRun || mayRunAgain;
         co_return result;
     }
     AnswerHead answerHead = valueOf(std::move(head));
--- a/src/node/forwarder.h
+++ b/src/node/forwarder.h
@@ -25,6 +25,9 @@
 
 namespace pistachiofall {
 
+/// The longest body of an answer that is passed on whole.
+inline constexpr std::size_t MaxWholeAnswerBytes = std::size_t{64} << 20U;
+
 /// A call to an endpoint whose answer has begun, and the slot it uses. finish() has to be called
 /// once the answer has ended, in whatever way.
 struct OpenAnswer
@@ -32,7 +35,7 @@
     std::shared_ptr<EndpointCall> call;
     SlotLease lease;
     AnswerHead head;
-    /// The beginning of the body; empty when the body is.
+    /// The beginning of the body, or all of it; empty when the body is.
     std::string firstPiece;
     std::chrono::milliseconds firstToken{0};
     std::string endpoint;
@@ -57,7 +60,8 @@
               Coordination &coordination, SlotClient &slots, HeldSlots &held,
               EndpointSelector &selector, std::shared_ptr<EndpointClient> client);
 
-    /// Runs until the first piece of an answer's body has come.
+    /// Runs until the first piece of an answer's body has come, or all of it when an online request
+    /// may run again and its answer is no stream of events.
     boost::asio::awaitable<Outcome> open(ForwardRequest request,
                                          std::shared_ptr<RequestCancellation> cancellation);
 
--- a/src/node/onlinehandler.cpp
+++ b/src/node/onlinehandler.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr std::size_t MaxChatBodyBytes = std::size_t{16} << 20U;
-constexpr std::size_t MaxWholeAnswerBytes = std::size_t{64} << 20U;
 // A status from which on the service, not the request, is at fault.
 constexpr unsigned FirstServerError = 500;
 
@@ -28,11 +27,6 @@
     return headers;
 }
 
-bool isEventStream(const AnswerHead &head)
-{
-    return head.headers.get("Content-Type").starts_with("text/event-stream");
-}
-
 /// Removes a request from those in flight at the end of its scope.
 class ActiveRequestGuard
 {
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -38,9 +38,9 @@
     return std::chrono::duration_cast<milliseconds>(time - now);
 }
 
-bool isEventStream(const AnswerHead &head)
+bool isSuccessfulStream(const AnswerHead &head)
 {
-    return head.status < 300 && head.headers.get("Content-Type").starts_with("text/event-stream");
+    return head.status < 300 && isEventStream(head);
 }
 
 } // namespace
@@ -396,7 +396,7 @@
 asio::awaitable<void> OnlineService::forwardResponse(ServerExchange &exchange,
                                                      RequestContext &context, Attempt &attempt)
 {
-    const bool isStream = isEventStream(attempt.responseHead) && exchange.canStream();
+    const bool isStream = isSuccessfulStream(attempt.responseHead) && exchange.canStream();
     if (isStream || context.isStreaming)
         co_await forwardStream(exchange, context, attempt);
     else
@@ -439,7 +439,7 @@
                                                    RequestContext &context, Attempt &attempt)
 {
     // Once events have been sent to the caller, the response must be a stream again.
-    if (context.isStreaming && !isEventStream(attempt.responseHead)) {
+    if (context.isStreaming && !isSuccessfulStream(attempt.responseHead)) {
         noteFailure(context, attempt, "the endpoint did not resume the stream", true);
         co_return;
     }
--- a/tests/system/brokenanswercases.cpp
+++ b/tests/system/brokenanswercases.cpp
@@ -69,6 +69,7 @@
     all.push_back({"bad size of a chunk",
                    answer(Ok, "Transfer-Encoding: chunked\r\n",
                           {parts.fields, "x\r\n" + parts.body + "\r\n0\r\n\r\n"})});
+    all.push_back({"body that is cut", answer(Ok, "Content-Length: 1000\r\n", parts), true, true});
 }
 
 } // namespace
