serve: log broken answers with the request's id and the reason

What operators saw: nothing. "fleet serve" logs each failed attempt; "serve" only counted them.

Evidence: system.servebrokenanswers AreLoggedWithTheirReason failed before.

--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -101,6 +101,7 @@
     , m_held(held)
     , m_selector(selector)
     , m_client(std::move(client))
+    , m_brokenAnswers(clock)
     , m_retries(metrics.counter("retries_total", {{"outcome", "sent"}}))
     , m_retriesDenied(metrics.counter("retries_total", {{"outcome", "denied"}}))
 { }
@@ -137,6 +138,11 @@
     }
 }
 
+void Forwarder::recordBroken(const OpenAnswer &answer, const Error &error)
+{
+    m_brokenAnswers.record(answer.requestId, answer.endpoint, error);
+}
+
 void Forwarder::finish(const OpenAnswer &answer, CallOutcome outcome)
 {
     m_slots.release(answer.lease, outcome, answer.firstToken);
@@ -239,7 +245,9 @@
     const auto elapsed = duration_cast<milliseconds>(m_clock.now() - begin);
     if (!failure && isReadWhole(request, valueOf(head)))
         failure = co_await readRest(*call, piece);
+    const std::string requestId(request.request->headers.get("X-Request-Id"));
     if (failure) {
+        m_brokenAnswers.record(requestId, lease.endpoint, failure->error);
         m_slots.release(lease, outcomeOf(*failure), std::nullopt);
         const bool hasRun = failure->sent == RequestSent::Possibly;
         result.error = {failure->error, hasRun ? RunState::Unknown : RunState::NotRun};
@@ -259,8 +267,9 @@
         co_return result;
     }
     m_metrics.histogram("first_token_seconds", {{"target", targetName(request)}}).record(elapsed);
-    result.answer = OpenAnswer{std::move(call),  lease,   std::move(answerHead),
-                               std::move(piece), elapsed, lease.endpoint};
+    result.answer =
+            OpenAnswer{std::move(call), lease,    std::move(answerHead), std::move(piece), elapsed,
+                       lease.endpoint,  requestId};
     co_return result;
 }
 
--- a/src/node/forwarder.h
+++ b/src/node/forwarder.h
@@ -9,6 +9,7 @@
 #include "http/endpointclient.h"
 #include "http/erroranswer.h"
 #include "metrics/metricsregistry.h"
+#include "node/brokenanswerlog.h"
 #include "node/coordination.h"
 #include "node/forwardrequest.h"
 #include "node/heldslots.h"
@@ -39,6 +40,7 @@
     std::string firstPiece;
     std::chrono::milliseconds firstToken{0};
     std::string endpoint;
+    std::string requestId;
 };
 
 /// Why a request has no answer, and what is known about its run.
@@ -65,6 +67,9 @@
     boost::asio::awaitable<Outcome> open(ForwardRequest request,
                                          std::shared_ptr<RequestCancellation> cancellation);
 
+    /// Logs why the rest of the answer can not be read.
+    void recordBroken(const OpenAnswer &answer, const Error &error);
+
     /// Gives the slot back.
     void finish(const OpenAnswer &answer, CallOutcome outcome);
 
@@ -89,6 +94,7 @@
     EndpointSelector &m_selector;
     const std::shared_ptr<EndpointClient> m_client;
     RetryBudget m_budget;
+    BrokenAnswerLog m_brokenAnswers;
     Counter &m_retries;
     Counter &m_retriesDenied;
 };
--- a/src/node/itemrunner.cpp
+++ b/src/node/itemrunner.cpp
@@ -76,6 +76,7 @@
         auto rest = co_await answer.call->readAll(MaxAnswerBytes);
         if (!isOk(rest)) {
             const Error error = failureOf(rest).error;
+            m_forwarder.recordBroken(answer, error);
             answer.call->cancel();
             m_forwarder.finish(answer,
                                error.code == ErrorCode::Cancelled ? CallOutcome::Cancelled
--- a/src/node/onlinehandler.cpp
+++ b/src/node/onlinehandler.cpp
@@ -225,8 +225,10 @@
             co_return RelayEnd::NotTaken;
         const auto begin = m_clock.now();
         auto next = co_await answer.call->readSome();
-        if (!isOk(next))
+        if (!isOk(next)) {
+            m_forwarder.recordBroken(answer, failureOf(next).error);
             break;
+        }
         piece = valueOf(std::move(next));
         if (!piece.empty()) {
             const auto gap = m_clock.now() - begin;
@@ -234,8 +236,11 @@
             levels.recordTokenGap(gap);
             continue;
         }
-        if (!isOk(check.check()))
+        const Result<Done> checked = check.check();
+        if (!isOk(checked)) {
+            m_forwarder.recordBroken(answer, errorOf(checked));
             break;
+        }
         const bool isTaken = co_await exchange.finishStream();
         co_return isTaken ? RelayEnd::Complete : RelayEnd::NotTaken;
     }
@@ -254,6 +259,7 @@
         auto rest = co_await answer.call->readAll(MaxWholeAnswerBytes);
         if (!isOk(rest)) {
             Error error = failureOf(rest).error;
+            m_forwarder.recordBroken(answer, error);
             if (cancellation.reason() == CancelReason::KeyInvalid)
                 error = {ErrorCode::Unauthenticated, "the key has been withdrawn"};
             co_await refuse(exchange, error, RunState::Unknown);
--- a/tests/system/servebrokenanswerstest.cpp
+++ b/tests/system/servebrokenanswerstest.cpp
@@ -5,6 +5,8 @@
 #include "system/fleet.h"
 #include "system/waituntil.h"
 
+#include <csignal>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace pistachiofall::tests;
@@ -82,6 +84,13 @@
         return get("/v1/batches/" + id + "/results").body;
     }
 
+    // What the instance has logged until its end.
+    std::string stopAndReadLog()
+    {
+        m_fleet.instance(0).signal(SIGTERM);
+        return m_fleet.instance(0).readAll(seconds{30});
+    }
+
 private:
     HttpReply get(const std::string &target)
     {
@@ -202,3 +211,13 @@
                broken.name, result);
     }
 }
+
+// Guards against broken answers that leave no trace.
+TEST(ServeBrokenAnswers, AreLoggedWithTheirReason)
+{
+    caller.endpoint().setAnswers({toAnswer(brokenAnswers({plain, "foreign"}).front())});
+    caller.post("/print", "{}", "tag-4711");
+    const std::string log = caller.stopAndReadLog();
+    STRCMP_CONTAINS("answer_broken request=tag-4711 endpoint=t-1 reason=\"the answer has status 0",
+                    log.c_str());
+}
