--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -70,6 +70,7 @@
     foreach(name base metrics coord rules rollout settings slo store wire http batch node fleet serving
                  platform cli)
         file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cpp)
+        # Commands are tested with instances that send prepared bytes, too.
         if(name STREQUAL "cli")
             list(APPEND sources ${CMAKE_SOURCE_DIR}/tests/http/rawendpoint.cpp)
         endif()
--- a/src/http/answerreader.h
+++ b/src/http/answerreader.h
@@ -14,9 +14,9 @@
 namespace pistachiofall::detail {
 
 /// Reads one answer from a connection: to an endpoint, the store or another instance. All answers
-/// in HTTP are read here, so that what is no answer is told in one place. Errors: TimedOut,
-/// OutcomeUnknown when the connection ends first, ProtocolError, Cancelled when this side closed
-/// the connection. After an error the connection must not be used again.
+/// in HTTP are read here, so that one place decides what is an answer and what is not. Errors:
+/// TimedOut, OutcomeUnknown when the connection ends first, ProtocolError, Cancelled when this side
+/// closed the connection. After an error the connection must not be used again.
 class AnswerReader
 {
 public:
