Review case 11: a lost answer a second before the outage takes the place of a moment of milliseconds

Cause: the case began with an outage just as the store had carried a write out; an operator meets a wider one. Change: the answer to the write is lost and the store goes down 1 s later; FORM=one plays the earlier form.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,8 @@
-"""An end of a batch job is refused with 503 at every client attempt, and the batch job is ended."""
+"""An end of a batch job is refused with 503 at every client attempt, and the batch job is ended.
+
+The store's answer to the write of the end is lost, and LEAD_S later the store goes down. With FORM=one it goes down at
+once, as it has carried the write out: one disruption, and a moment of milliseconds.
+"""
 
 import asyncio
 import os
@@ -13,6 +17,8 @@
 ITEMS = 6
 # How long the store is down; the site's troubles have platform_down with for_s = 4.5.
 DOWN_S = 4.5
+# Less than the time for which a machine waits for the answer to a write (call_timeout_ms = 1500).
+LEAD_S = 0.0 if os.environ.get("FORM") == "one" else 1.0
 DEADLINE_S = 4.0
 # The sheet's "client's retries" of the class.
 RETRIES = 1
@@ -79,18 +85,23 @@
         raise w.Unable("the batch job was not accepted")
     await asyncio.sleep(1)
 
-    down_until = None
+    down_from, down_until = None, None
+
+    def go_down():
+        world.record.note(f"the store goes down for {DOWN_S} s: it resets all connections")
+        world.store.reset_connections()
 
     def on_call(request):
-        nonlocal down_until
-        if down_until is not None and time.monotonic() < down_until:
+        nonlocal down_from, down_until
+        if down_from is not None and down_from <= time.monotonic() < down_until:
             return "down"
         is_end = request.method == "PUT" and b'"ended":true' in request.body
-        if is_trouble and down_until is None and is_end:
-            down_until = time.monotonic() + DOWN_S
-            world.record.note("the store carries out the write of the end and goes down before it answers")
-            asyncio.get_running_loop().call_later(0, world.store.reset_connections)
-            return "lost"
+        if is_trouble and down_from is None and is_end:
+            down_from = time.monotonic() + LEAD_S
+            down_until = down_from + DOWN_S
+            world.record.note("the store carries out the write of the end; its answer is lost")
+            asyncio.get_running_loop().call_later(LEAD_S, go_down)
+            return "unanswered"
         return None
 
     world.store.on_call = on_call
--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -157,7 +157,8 @@
 
 class Store(HttpServer):
     """The platform's metadata store. on_call(request) may return "down": the call is reset and not done,
-    "lost": it is done and reset without an answer, or None. from_s and to_s of an outage are set by the script."""
+    "lost": it is done and reset without an answer, "unanswered": it is done, and nothing more comes on the connection,
+    or None."""
 
     def __init__(self, host, record):
         super().__init__(host)
@@ -181,6 +182,9 @@
         if fault == "lost":
             request.connection.reset()
             return
+        if fault == "unanswered":
+            await asyncio.sleep(60)
+            return
         if self.on_call(request) == "down":
             request.connection.reset()
             return
