A write with one unknown attempt is not answered with a promise

Cause: the end was answered by its last attempt, which had not been sent as the store was known to be down. An earlier attempt had been carried out, and its answer lost. A refusal is certain only of the attempt that it answers. Change: WriteOutcome puts the attempts of a write together; ends, submissions and cancellations of both programs use it. A repeated call at the same instance knows of the uncertain one before it. A submission that meets items of an earlier one is not certainly refused, and one of a job that runs here is accepted without the store. makeErrorAnswer gives no status that promises when the run is unknown. serve: a request keeps "unknown" over later attempts. An endpoint's refusal without the word that the request has not run is not passed on.

--- a/src/batch/canceljob.cpp
+++ b/src/batch/canceljob.cpp
@@ -2,8 +2,8 @@
 
 #include "batch/jobcodec.h"
 #include "batch/storecalls.h"
+#include "store/writeoutcome.h"
 
-#include <optional>
 #include <utility>
 
 namespace pistachiofall {
@@ -21,14 +21,14 @@
                                             std::size_t shardCount, std::string organisation,
                                             JobId id)
 {
-    std::optional<Error> last;
-    bool isUnknown = false;
+    WriteOutcome outcome;
     for (int attempt = 1; attempt <= MaxAttempts; ++attempt) {
         auto stored = co_await batch::detail::getOwnedJob(store, id, organisation);
         if (!isOk(stored)) {
-            last = errorOf(stored);
-            if (!batch::detail::isRetryable(last->code))
-                co_return *last;
+            const Error error = errorOf(stored);
+            if (!outcome.isUnknown() && !batch::detail::isRetryable(error.code))
+                co_return error;
+            outcome.recordFailure({ErrorCode::Unavailable, error.message});
             break;
         }
         Job &job = valueOf(stored).job;
@@ -40,17 +40,17 @@
         const auto updated = co_await store->update(std::move(object));
         if (isOk(updated))
             co_return JobState::Cancelled;
-        last = errorOf(updated);
+        const Error error = errorOf(updated);
+        outcome.recordFailure(error);
         // The next attempt reads the job again. A conflict is retried without delay, with the new
         // version.
-        if (last->code == ErrorCode::Conflict)
+        if (error.code == ErrorCode::Conflict)
             continue;
-        if (!batch::detail::isRetryable(last->code))
-            co_return *last;
-        isUnknown = isUnknown || last->code != ErrorCode::Unavailable;
+        if (!outcome.isUnknown() && !batch::detail::isRetryable(error.code))
+            co_return error;
         co_await batch::detail::waitBeforeRetry(1);
     }
-    co_return Error{isUnknown ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable, last->message};
+    co_return outcome.failure();
 }
 
 } // namespace pistachiofall
--- a/src/batch/jobsubmitter.cpp
+++ b/src/batch/jobsubmitter.cpp
@@ -4,6 +4,7 @@
 #include "batch/jobcodec.h"
 #include "batch/segmentcodec.h"
 #include "batch/storecalls.h"
+#include "store/writeoutcome.h"
 
 #include <optional>
 #include <utility>
@@ -105,21 +106,19 @@
                                                 std::size_t shardCount)
 {
     const StoredObject object = encodeJob(job, shardCount);
-    bool isUnknown = false;
+    WriteOutcome outcome;
     for (int attempt = 1;; ++attempt) {
         const auto created = co_await store->create(object);
         if (isOk(created))
             co_return SubmittedJob{job.id, job.itemCount(), true};
-        Error failure = errorOf(created);
+        const Error failure = errorOf(created);
         if (failure.code == ErrorCode::AlreadyExists)
             co_return co_await resolveExisting(store, job);
-        if (!batch::detail::isRetryable(failure.code))
+        outcome.recordFailure(failure);
+        if (!outcome.isUnknown() && !batch::detail::isRetryable(failure.code))
             co_return failure;
-        isUnknown = isUnknown || failure.code != ErrorCode::Unavailable;
-        if (attempt == batch::detail::MaxStoreAttempts) {
-            failure.code = isUnknown ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable;
-            co_return failure;
-        }
+        if (attempt == batch::detail::MaxStoreAttempts)
+            co_return outcome.failure();
         co_await batch::detail::waitBeforeRetry(attempt);
     }
 }
--- a/src/cli/callerapi.cpp
+++ b/src/cli/callerapi.cpp
@@ -1,9 +1,12 @@
 #include "cli/callerapi.h"
 
 #include "http/answerreader.h"
+#include "http/erroranswer.h"
 
 #include <future>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -44,19 +47,29 @@
 }
 
 // Returns an error with the message of the JSON body, or with the status if there is no message.
+std::optional<std::string> textOf(const boost::json::object &object, std::string_view field)
+{
+    const auto *value = object.if_contains(boost::json::string_view(field.data(), field.size()));
+    if (value == nullptr || !value->is_string())
+        return std::nullopt;
+    return std::string(value->get_string());
+}
+
+// OutcomeUnknown if the answer says that the call may have had an effect.
 Error errorOfAnswer(unsigned status, const std::string &body)
 {
+    Error result{ErrorCode::Unavailable,
+                 "the instance answered with status " + std::to_string(status)};
     boost::system::error_code ignored;
     const auto parsed = boost::json::parse(body, ignored);
-    if (const auto *object = parsed.if_object()) {
-        const auto *error = object->if_contains("error");
-        const auto *text = error != nullptr && error->is_object()
-                ? error->get_object().if_contains("message")
-                : nullptr;
-        if (text != nullptr && text->is_string())
-            return {ErrorCode::Unavailable, std::string(text->get_string())};
-    }
-    return {ErrorCode::Unavailable, "the instance answered with status " + std::to_string(status)};
+    const auto *object = parsed.if_object();
+    const auto *error = object == nullptr ? nullptr : object->if_contains("error");
+    if (error == nullptr || !error->is_object())
+        return result;
+    result.message = textOf(error->get_object(), "message").value_or(result.message);
+    if (textOf(error->get_object(), "run") == toString(RunState::Unknown))
+        result.code = ErrorCode::OutcomeUnknown;
+    return result;
 }
 
 bool isSuccess(unsigned status)
--- a/src/http/erroranswer.cpp
+++ b/src/http/erroranswer.cpp
@@ -12,7 +12,19 @@
     return run == RunState::NotRun ? "not_run" : "unknown";
 }
 
-unsigned httpStatus(ErrorCode code)
+bool promisesNotRun(unsigned status)
+{
+    constexpr unsigned StatusTimeout = 408;
+    constexpr unsigned StatusMisdirected = 421;
+    constexpr unsigned StatusTooManyRequests = 429;
+    constexpr unsigned StatusUnavailable = 503;
+    return status == StatusTimeout || status == StatusMisdirected || status == StatusTooManyRequests
+            || status == StatusUnavailable;
+}
+
+namespace {
+
+unsigned statusOf(ErrorCode code)
 {
     switch (code) {
     case ErrorCode::InvalidArgument:
@@ -46,6 +58,15 @@
     return 500;
 }
 
+} // namespace
+
+unsigned httpStatus(ErrorCode code, RunState run)
+{
+    constexpr unsigned StatusBadGateway = 502;
+    const unsigned status = statusOf(code);
+    return run == RunState::Unknown && promisesNotRun(status) ? StatusBadGateway : status;
+}
+
 ErrorAnswer makeErrorAnswer(const Error &error, RunState run,
                             std::optional<std::chrono::milliseconds> retryAfter)
 {
@@ -57,7 +78,7 @@
               {"message", error.message},
               {"run", boost::json::string_view(state.data(), state.size())}}}};
     ErrorAnswer answer;
-    answer.status = httpStatus(error.code);
+    answer.status = httpStatus(error.code, run);
     answer.headers.add("Content-Type", "application/json");
     if (answer.status == 401)
         answer.headers.add("WWW-Authenticate", "Bearer");
--- a/src/http/erroranswer.h
+++ b/src/http/erroranswer.h
@@ -29,8 +29,13 @@
     std::string body;
 };
 
-/// The HTTP status for a kind of failure.
-unsigned httpStatus(ErrorCode code);
+/// Whether an answer with the status promises that the request has not run and never will: 408,
+/// 421, 429 and 503.
+bool promisesNotRun(unsigned status);
+
+/// The HTTP status for a kind of failure. One that promises that the request has not run only if
+/// that is certain.
+unsigned httpStatus(ErrorCode code, RunState run);
 
 /// Builds {"error": {"code", "message", "run"}}. Answers with status 429 or 503 carry Retry-After
 /// in whole seconds, at least 1, with 1 as the default; others carry it if it is given.
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -30,6 +30,14 @@
     return CallOutcome::Failed;
 }
 
+// The error of a request after a further attempt: it may have run if any of its attempts may have.
+ForwardError combined(const ForwardError &earlier, ForwardError latest)
+{
+    if (earlier.run == RunState::Unknown)
+        latest.run = RunState::Unknown;
+    return latest;
+}
+
 ForwardError cancelledError(CancelReason reason, RunState run)
 {
     switch (reason) {
@@ -124,7 +132,7 @@
         Attempt result = co_await attempt(request, valueOf(lease), cancellation);
         if (result.answer)
             co_return std::move(*result.answer);
-        last = std::move(result.error);
+        last = combined(last, std::move(result.error));
         if (cancellation->reason())
             co_return cancelledError(*cancellation->reason(), last.run);
         if (!result.mayRetry)
--- a/src/node/rulesstore.cpp
+++ b/src/node/rulesstore.cpp
@@ -213,7 +213,7 @@
         const bool isRefused = cause.code == ErrorCode::Conflict
                 || cause.code == ErrorCode::AlreadyExists || cause.code == ErrorCode::NotFound;
         if (!isRefused && !isWorthRetrying(cause.code))
-            co_return cause;
+            co_return isUncertain ? outOfTime(true, head.version, cause.message) : cause;
         if (isRefused || isUncertain) {
             const auto state = co_await readBack(store, head);
             if (!isOk(state))
--- a/src/serving/jobadopter.cpp
+++ b/src/serving/jobadopter.cpp
@@ -1,5 +1,6 @@
 #include "serving/jobadopter.h"
 
+#include "store/writeoutcome.h"
 #include "wire/sleep.h"
 
 #include <algorithm>
@@ -180,9 +181,7 @@
         auto written = co_await m_store.write(std::move(record));
         if (!isOk(written)) {
             m_log.warning("job_not_adopted", {{"job", id}, {"reason", errorOf(written).message}});
-            const bool isUncertain = !isCertainlyNotApplied(errorOf(written))
-                    && errorOf(written).code != ErrorCode::Conflict;
-            if (isUncertain)
+            if (mayBeApplied(errorOf(written)))
                 m_pendingLookUps[id].write = UncertainWrite(revision, m_clock.now());
             co_return false;
         }
--- a/src/serving/jobservice.cpp
+++ b/src/serving/jobservice.cpp
@@ -49,6 +49,19 @@
     co_await m_online.refuse(exchange, unavailable, RetryAfter);
 }
 
+// The call may have taken effect, or may do so later: a status that promises the contrary is wrong.
+asio::awaitable<void> JobService::respondUncertain(ServerExchange &exchange, std::string_view call,
+                                                   std::string id, std::string reason)
+{
+    m_dependencies.metrics.counter("job_calls_uncertain_total", {{"call", std::string(call)}})
+            .add();
+    m_dependencies.log.warning("job_uncertain", {{"call", call}, {"job", id}, {"reason", reason}});
+    const Error uncertain{ErrorCode::TimedOut,
+                          "the call may have taken effect; send it again: " + reason};
+    ErrorAnswer answer = makeErrorAnswer(uncertain, RunState::Unknown);
+    co_await exchange.respond(std::move(answer));
+}
+
 asio::awaitable<void> JobService::submit(ServerExchange &exchange, OnlineRequest request)
 {
     auto items = m_dependencies.protocol.decodeJob(request.body);
@@ -62,6 +75,13 @@
         co_await exchange.respond(std::move(answer));
         co_return;
     }
+    // A repeated submission of a job that runs here needs nothing of the store.
+    const auto running = m_runner.find(id);
+    if (running && running->record.organisation == request.organisation) {
+        m_dependencies.log.info("job_repeated", {{"job", id}, {"owner", m_runner.owner()}});
+        co_await respondAccepted(exchange, id);
+        co_return;
+    }
     JobRecord record;
     record.id = id;
     record.organisation = request.organisation;
@@ -83,9 +103,7 @@
                                  {"items", std::uint64_t{valueOf(items).size()}}});
         m_dependencies.metrics.counter("jobs_accepted_total").add();
         m_runner.add(valueOf(std::move(stored)), valueOf(std::move(items)), sent);
-        HttpHeaders headers = jsonHeaders();
-        std::string body = "{}";
-        co_await exchange.respond(202, std::move(headers), std::move(body));
+        co_await respondAccepted(exchange, id);
         co_return;
     }
     const Error error = errorOf(stored);
@@ -93,15 +111,16 @@
         co_await respondToDuplicate(exchange, std::move(request), valueOf(std::move(items)));
         co_return;
     }
-    if (error.code == ErrorCode::Unavailable) {
+    const auto now = m_dependencies.clock.now();
+    if (error.code == ErrorCode::Unavailable && !m_submittedJobs.mayBeApplied(id, now)) {
         co_await respondUnavailable(exchange, "submit", id, error);
         co_return;
     }
-    m_runner.adopter().requestLookUp(id, UncertainWrite(0, m_dependencies.clock.now()));
-    m_dependencies.log.warning("job_uncertain", {{"job", id}, {"reason", error.message}});
-    const Error uncertain{ErrorCode::TimedOut, "the job may have been stored; submit it again"};
-    ErrorAnswer answer = makeErrorAnswer(uncertain, RunState::Unknown);
-    co_await exchange.respond(std::move(answer));
+    if (error.code != ErrorCode::Unavailable) {
+        m_submittedJobs.record(id, now);
+        m_runner.adopter().requestLookUp(id, UncertainWrite(0, now));
+    }
+    co_await respondUncertain(exchange, "submit", id, error.message);
 }
 
 // Responds to a submission whose job id exists already, stored by this or by another instance.
@@ -116,12 +135,9 @@
         // The job exists, so a response that says it was not accepted would be wrong. The caller
         // retries. Its owner may be this instance, by an earlier attempt without an answer.
         m_runner.adopter().requestLookUp(request.metadata.requestId);
-        m_dependencies.log.warning(
-                "job_uncertain",
-                {{"job", request.metadata.requestId}, {"reason", errorOf(record).message}});
-        const Error uncertain{ErrorCode::TimedOut, errorOf(record).message};
-        ErrorAnswer answer = makeErrorAnswer(uncertain, RunState::Unknown);
-        co_await exchange.respond(std::move(answer));
+        m_submittedJobs.record(request.metadata.requestId, m_dependencies.clock.now());
+        co_await respondUncertain(exchange, "submit", request.metadata.requestId,
+                                  errorOf(record).message);
         co_return;
     }
     if (valueOf(record).organisation != request.organisation) {
@@ -138,6 +154,12 @@
                              {"revision", valueOf(record).revision}});
     if (valueOf(record).owner == m_runner.owner() && valueOf(record).isOpen())
         m_runner.add(valueOf(std::move(record)), std::move(items), sent);
+    co_await respondAccepted(exchange, request.metadata.requestId);
+}
+
+asio::awaitable<void> JobService::respondAccepted(ServerExchange &exchange, const std::string &id)
+{
+    m_submittedJobs.record(id, m_dependencies.clock.now());
     HttpHeaders headers = jsonHeaders();
     std::string body = "{}";
     co_await exchange.respond(202, std::move(headers), std::move(body));
@@ -318,45 +340,76 @@
 asio::awaitable<void> JobService::end(ServerExchange &exchange, EndJobCall call,
                                       std::string organisation)
 {
-    Error last;
+    const auto deadline = m_dependencies.clock.now() + CallTimeout;
+    WriteOutcome outcome;
+    if (m_uncertainEnds.mayBeApplied(call.jobId, m_dependencies.clock.now()))
+        outcome.recordEarlierWriter();
     for (int attempt = 0; attempt < MaxEndAttempts; ++attempt) {
-        std::string id = call.jobId;
-        auto read = co_await m_store.read(std::move(id));
-        if (isOk(read) && valueOf(read).organisation != organisation)
-            read = Error{ErrorCode::NotFound, "no job '" + call.jobId + "'"};
-        if (!isOk(read) && errorOf(read).code == ErrorCode::NotFound) {
-            const Error unknown = errorOf(read);
-            ErrorAnswer answer = makeErrorAnswer(unknown, RunState::NotRun);
-            co_await exchange.respond(std::move(answer));
+        if (attempt > 0 && m_dependencies.clock.now() >= deadline)
+            break;
+        const EndState state = co_await tryToEnd(call.jobId, organisation, outcome);
+        if (state == EndState::Ended) {
+            m_dependencies.log.info("job_ended", {{"job", call.jobId}, {"tries", attempt + 1}});
+            co_await respondEnded(exchange, call.jobId);
             co_return;
         }
-        bool isEnded = false;
-        if (isOk(read)) {
-            JobRecord record = valueOf(std::move(read));
-            isEnded = !record.isOpen();
-            if (!isEnded) {
-                record.hasEnded = true;
-                const auto written = co_await m_store.write(std::move(record));
-                isEnded = isOk(written);
-                if (!isEnded)
-                    last = errorOf(written);
-            }
-        } else {
-            last = errorOf(read);
-        }
-        if (isEnded) {
-            m_dependencies.log.info("job_ended", {{"job", call.jobId}, {"tries", attempt + 1}});
-            m_recordCache.erase(call.jobId);
-            m_runner.jobEnded(call.jobId);
-            m_endNotifier(call.jobId);
-            HttpHeaders headers = jsonHeaders();
-            std::string body = "{}";
-            co_await exchange.respond(200, std::move(headers), std::move(body));
+        if (state == EndState::NoSuchJob) {
+            const Error unknown{ErrorCode::NotFound, "no job '" + call.jobId + "'"};
+            ErrorAnswer answer = makeErrorAnswer(
+                    unknown, outcome.isUnknown() ? RunState::Unknown : RunState::NotRun);
+            co_await exchange.respond(std::move(answer));
             co_return;
         }
         co_await sleepFor(EndRetryDelay);
     }
-    co_await respondUnavailable(exchange, "end", call.jobId, last);
+    if (outcome.isUnknown())
+        co_await respondUncertain(exchange, "end", call.jobId, outcome.failure().message);
+    else
+        co_await respondUnavailable(exchange, "end", call.jobId, outcome.failure());
+}
+
+asio::awaitable<void> JobService::respondEnded(ServerExchange &exchange, std::string id)
+{
+    m_uncertainEnds.settle(id);
+    m_recordCache.erase(id);
+    m_runner.jobEnded(id);
+    m_endNotifier(id);
+    HttpHeaders headers = jsonHeaders();
+    std::string body = "{}";
+    co_await exchange.respond(200, std::move(headers), std::move(body));
+}
+
+// One attempt. An end that an earlier attempt has written counts as this one's.
+asio::awaitable<JobService::EndState> JobService::tryToEnd(std::string id, std::string organisation,
+                                                           WriteOutcome &outcome)
+{
+    std::string asked = id;
+    auto read = co_await m_store.read(std::move(asked));
+    if (!isOk(read) && errorOf(read).code == ErrorCode::NotFound)
+        co_return EndState::NoSuchJob;
+    if (!isOk(read)) {
+        // Nothing was written by this attempt.
+        outcome.recordFailure({ErrorCode::Unavailable, errorOf(read).message});
+        co_return EndState::Open;
+    }
+    JobRecord record = valueOf(std::move(read));
+    if (record.organisation != organisation)
+        co_return EndState::NoSuchJob;
+    if (!record.isOpen())
+        co_return EndState::Ended;
+    record.hasEnded = true;
+    const auto written = co_await m_store.write(std::move(record));
+    if (isOk(written))
+        co_return EndState::Ended;
+    const Error &error = errorOf(written);
+    outcome.recordFailure(error);
+    if (mayBeApplied(error))
+        m_uncertainEnds.record(id, m_dependencies.clock.now());
+    m_dependencies.log.warning("job_end_failed",
+                               {{"job", id},
+                                {"may_be_applied", mayBeApplied(error) ? "yes" : "no"},
+                                {"reason", error.message}});
+    co_return EndState::Open;
 }
 
 } // namespace pistachiofall
--- a/src/serving/jobservice.h
+++ b/src/serving/jobservice.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "fleet/uncertainwrites.h"
 #include "serving/apicall.h"
 #include "serving/jobrunner.h"
 #include "serving/jobstore.h"
 #include "serving/onlineservice.h"
+#include "store/writeoutcome.h"
 
 #include <chrono>
 #include <functional>
@@ -48,7 +50,8 @@
     /// Responds with the request body of an item.
     boost::asio::awaitable<void> readBody(ServerExchange &exchange, ItemBodyCall call,
                                           std::string organisation);
-    /// Ends a job. Succeeds also if the job has already ended or is complete.
+    /// Ends a job. Succeeds also if the job has already ended or is complete. A response that
+    /// promises that the job has not ended and will not is certain of that.
     boost::asio::awaitable<void> end(ServerExchange &exchange, EndJobCall call,
                                      std::string organisation);
 
@@ -67,12 +70,20 @@
         Any,
     };
 
+    enum class EndState { Ended, NoSuchJob, Open };
+
     boost::asio::awaitable<Result<std::shared_ptr<const JobRecord>>>
     findRecord(std::string id, std::string organisation, RecordAge age);
+    boost::asio::awaitable<void> respondAccepted(ServerExchange &exchange, const std::string &id);
     boost::asio::awaitable<void> respondToDuplicate(ServerExchange &exchange, OnlineRequest request,
                                                     std::vector<JobItem> items);
     boost::asio::awaitable<void> respondUnavailable(ServerExchange &exchange, std::string_view call,
                                                     std::string id, Error error);
+    boost::asio::awaitable<void> respondUncertain(ServerExchange &exchange, std::string_view call,
+                                                  std::string id, std::string reason);
+    boost::asio::awaitable<void> respondEnded(ServerExchange &exchange, std::string id);
+    boost::asio::awaitable<EndState> tryToEnd(std::string id, std::string organisation,
+                                              WriteOutcome &outcome);
     boost::asio::awaitable<Result<JobRecord>> readNewest(std::string id, std::string owner);
     Result<std::shared_ptr<const JobRecord>> takeRead(JobRecord read, SteadyTime asked);
     void logRead(std::string_view source, const JobRecord &record);
@@ -85,6 +96,10 @@
     EndNotifier m_endNotifier;
     OwnerReader m_ownerReader;
     std::map<std::string, CachedRecord> m_recordCache;
+    /// Jobs that were submitted here and are stored or may be, by id.
+    UncertainWrites m_submittedJobs;
+    /// Ends without an answer of the store, by the id of the job.
+    UncertainWrites m_uncertainEnds;
 };
 
 } // namespace pistachiofall
--- a/src/serving/jobstore.cpp
+++ b/src/serving/jobstore.cpp
@@ -1,6 +1,7 @@
 #include "serving/jobstore.h"
 
 #include "serving/jobformat.h"
+#include "store/writeoutcome.h"
 #include "wire/sleep.h"
 
 #include <algorithm>
@@ -46,12 +47,6 @@
 
 } // namespace
 
-bool isCertainlyNotApplied(const Error &error)
-{
-    return error.code == ErrorCode::Unavailable || error.code == ErrorCode::RateLimited
-            || error.code == ErrorCode::InvalidArgument;
-}
-
 JobStore::JobStore(const Clock &clock, DecisionLog &log, std::shared_ptr<ObjectSpace> space,
                    std::size_t maxObjectBytes)
     : m_clock(clock)
@@ -67,25 +62,44 @@
         m_lastResponse = m_clock.now();
 }
 
-JobStore::Async<Done> JobStore::createItems(std::string id, std::vector<boost::json::value> parts,
-                                            SteadyTime deadline)
+JobStore::Async<JobStore::ItemsWriter>
+JobStore::createItems(std::string id, std::vector<boost::json::value> parts, SteadyTime deadline)
 {
-    for (std::size_t part = 0; part < parts.size();) {
+    ItemsWriter writer = ItemsWriter::ThisCall;
+    for (std::size_t part = 0; part < parts.size(); ++part) {
         SpaceObject object;
         object.name = partName(id, part);
-        object.spec = parts[part];
-        const auto created = co_await m_space->create(ItemsKind, std::move(object));
-        // An existing object is from an earlier submission of the same job, or from a write whose
-        // response was lost.
-        if (isOk(created) || errorOf(created).code == ErrorCode::AlreadyExists) {
-            ++part;
-            continue;
+        object.spec = std::move(parts[part]);
+        const auto created = co_await createItemsPart(std::move(object), deadline, writer);
+        if (!isOk(created) && writer == ItemsWriter::ThisCall)
+            co_return Error{ErrorCode::Unavailable, errorOf(created).message};
+        if (!isOk(created))
+            co_return Error{ErrorCode::OutcomeUnknown, errorOf(created).message};
+    }
+    co_return writer;
+}
+
+// Sets the writer if an earlier submission has stored the part.
+JobStore::Async<Done> JobStore::createItemsPart(SpaceObject object, SteadyTime deadline,
+                                                ItemsWriter &writer)
+{
+    WriteOutcome outcome;
+    for (;;) {
+        SpaceObject sent = object;
+        const auto created = co_await m_space->create(ItemsKind, std::move(sent));
+        if (isOk(created))
+            co_return Done{};
+        const Error error = errorOf(created);
+        if (error.code == ErrorCode::AlreadyExists) {
+            if (!outcome.isUnknown())
+                writer = ItemsWriter::Earlier;
+            co_return Done{};
         }
-        if (isCertainlyNotApplied(errorOf(created)) || m_clock.now() >= deadline)
-            co_return errorOf(created);
+        outcome.recordFailure(error);
+        if (!mayBeApplied(error) || m_clock.now() >= deadline)
+            co_return error;
         co_await sleepFor(RetryDelay);
     }
-    co_return Done{};
 }
 
 JobStore::Async<JobRecord> JobStore::create(JobRecord record, std::vector<JobItem> items,
@@ -97,9 +111,11 @@
     const auto stored = co_await createItems(record.id, std::move(parts), deadline);
     // Without its job object the job does not exist, even if some items were written.
     if (!isOk(stored))
-        co_return Error{ErrorCode::Unavailable, errorOf(stored).message};
-    bool mayExist = false;
-    Error last{ErrorCode::Unavailable, "the deadline has passed"};
+        co_return errorOf(stored);
+    WriteOutcome outcome;
+    outcome.recordFailure({ErrorCode::Unavailable, "the deadline has passed"});
+    if (valueOf(stored) == ItemsWriter::Earlier)
+        outcome.recordEarlierWriter();
     while (m_clock.now() < deadline) {
         SpaceObject object = encodeJobRecord(record);
         const auto created = co_await m_space->create(JobKind, std::move(object));
@@ -108,19 +124,18 @@
             record.revision = valueOf(created).revision;
             co_return record;
         }
-        last = errorOf(created);
-        if (last.code == ErrorCode::AlreadyExists) {
+        const Error error = errorOf(created);
+        if (error.code == ErrorCode::AlreadyExists) {
             noteResponse(true);
-            co_return last;
+            co_return error;
         }
-        if (isCertainlyNotApplied(last) && !mayExist)
-            co_return Error{ErrorCode::Unavailable, last.message};
-        mayExist = true;
-        m_log.warning("job_store_uncertain", {{"job", record.id}, {"reason", last.message}});
+        outcome.recordFailure(error);
+        if (!outcome.isUnknown())
+            break;
+        m_log.warning("job_store_uncertain", {{"job", record.id}, {"reason", error.message}});
         co_await sleepFor(RetryDelay);
     }
-    last.code = mayExist ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable;
-    co_return last;
+    co_return outcome.failure();
 }
 
 JobStore::Async<JobRecord> JobStore::read(std::string id)
--- a/src/serving/jobstore.h
+++ b/src/serving/jobstore.h
@@ -18,9 +18,6 @@
 
 namespace pistachiofall {
 
-/// Whether the error of a write guarantees that the store has not applied it and will not.
-bool isCertainlyNotApplied(const Error &error);
-
 /// Reads and writes batch jobs in the store. A job consists of one or more objects with its items
 /// and of the job object, which also holds the results. The job exists once the job object exists.
 /// Each update of the job object is conditional on its revision, so that two owners cannot both
@@ -66,8 +63,16 @@
     SteadyTime lastResponse() const { return m_lastResponse; }
 
 private:
-    Async<Done> createItems(std::string id, std::vector<boost::json::value> parts,
-                            SteadyTime deadline);
+    /// Whose submission has stored the items of a job.
+    enum class ItemsWriter {
+        ThisCall,
+        /// An earlier submission of the same job has stored some, and may have stored the job.
+        Earlier,
+    };
+
+    Async<ItemsWriter> createItems(std::string id, std::vector<boost::json::value> parts,
+                                   SteadyTime deadline);
+    Async<Done> createItemsPart(SpaceObject object, SteadyTime deadline, ItemsWriter &writer);
     Async<JobRecord> moveResults(JobRecord record);
     Async<std::vector<JobResult>> readPart(std::string name);
     void noteResponse(bool hasResponse);
--- a/src/serving/jobwriter.cpp
+++ b/src/serving/jobwriter.cpp
@@ -1,5 +1,6 @@
 #include "serving/jobwriter.h"
 
+#include "store/writeoutcome.h"
 #include "wire/sleep.h"
 
 #include <algorithm>
@@ -133,7 +134,8 @@
     }
     m_log.warning("results_not_written",
                   {{"job", job->record.id}, {"reason", errorOf(written).message}});
-    if (isCertainlyNotApplied(errorOf(written)))
+    // After a conflict, the stored job may show more than this owner knows.
+    if (!mayBeApplied(errorOf(written)) && errorOf(written).code != ErrorCode::Conflict)
         job->readLease.recordWriteSettled();
     else
         job->readLease.recordWriteUncertain();
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -305,6 +305,12 @@
     case ResponseKind::Success:
         break;
     case ResponseKind::Failure: {
+        // Passed on, the status would be a promise of this instance's.
+        if (promisesNotRun(attempt.responseHead.status)) {
+            noteFailure(context, attempt, "a refusal without the word that the request has not run",
+                        true);
+            break;
+        }
         const bool isRetried =
                 canRetryElsewhere && attempt.responseHead.status >= MinServerErrorStatus;
         if (isRetried)
--- a/standins/common/spacestore.cpp
+++ b/standins/common/spacestore.cpp
@@ -60,7 +60,7 @@
     if (path == "/control/fault") {
         m_fault = exchange.query("mode", "ok");
         m_faultKind = exchange.query("kind", "");
-        m_creations = 0;
+        m_unsureWrites = 0;
         co_await answer(exchange, 200, {});
         co_return;
     }
@@ -133,10 +133,16 @@
 bool SpaceStore::losesAnswer(const std::string &method, const std::string &kind, unsigned status)
 {
     if (m_fault == "unsure-create" && method == "POST" && kind == m_faultKind) {
-        ++m_creations;
-        if (m_creations == 2)
+        ++m_unsureWrites;
+        if (m_unsureWrites == 2)
             m_downUntil = std::chrono::steady_clock::now() + UnsureDownTime;
-        return m_creations == 1;
+        return m_unsureWrites == 1;
+    }
+    if (m_fault == "unsure-replace" && method == "PUT" && kind == m_faultKind) {
+        ++m_unsureWrites;
+        if (m_unsureWrites == 1)
+            m_downUntil = std::chrono::steady_clock::now() + UnsureDownTime;
+        return m_unsureWrites == 1;
     }
     const bool isLossy = m_fault == "lose" || m_fault == "late-writes";
     return isLossy && method != "GET" && status < 300;
--- a/standins/common/spacestore.h
+++ b/standins/common/spacestore.h
@@ -30,7 +30,9 @@
 /// - slow-reads: reads of one object take 1.2 s;
 /// - garble-watches: the answers to watches that report a change can not be read;
 /// - unsure-create (with kind=KIND): the next object of the kind that is created gets no answer;
-///   after the answer to the next attempt to create one, every call gets 503 for 2 s.
+///   after the answer to the next attempt to create one, every call gets 503 for 2 s;
+/// - unsure-replace (with kind=KIND): the next object of the kind that is replaced gets no answer;
+///   after that, every call gets 503 for 2 s.
 /// POST /control/mute leaves the watches that are open now without an answer for good, with their
 /// connections open; later watches work.
 class SpaceStore
@@ -68,9 +70,9 @@
     std::uint64_t m_revision = 1;
     ChangeSignal m_changed;
     std::string m_fault = "ok";
-    /// The kind, and the attempts to create an object of it, for unsure-create.
+    /// The kind, and the attempts to write an object of it, for unsure-create and unsure-replace.
     std::string m_faultKind;
-    int m_creations = 0;
+    int m_unsureWrites = 0;
     std::chrono::steady_clock::time_point m_downUntil{};
     /// Counts the calls of /control/mute; a watch that began before the last one is not answered.
     int m_muteCount = 0;
--- a/tests/http/erroranswertest.cpp
+++ b/tests/http/erroranswertest.cpp
@@ -29,3 +29,17 @@
     STRCMP_EQUAL("1", retryAfter(std::chrono::milliseconds{0}).c_str());
     STRCMP_EQUAL("3", retryAfter(std::chrono::milliseconds{2001}).c_str());
 }
+
+// Guards against a status that promises that the request has not run, where that is not certain.
+TEST(ErrorAnswer, PromisesOnlyWhatIsCertain)
+{
+    for (const ErrorCode code : {ErrorCode::Unavailable, ErrorCode::Overloaded,
+                                 ErrorCode::RateLimited, ErrorCode::Cancelled}) {
+        const Error error{code, "reason"};
+        CHECK(promisesNotRun(makeErrorAnswer(error, RunState::NotRun).status));
+        const ErrorAnswer unknown = makeErrorAnswer(error, RunState::Unknown);
+        CHECK_EQUAL(502, unknown.status);
+        CHECK_FALSE(unknown.headers.contains("Retry-After"));
+    }
+    CHECK_EQUAL(504, makeErrorAnswer({ErrorCode::TimedOut, {}}, RunState::Unknown).status);
+}
--- a/tests/serving/jobstoretest.cpp
+++ b/tests/serving/jobstoretest.cpp
@@ -174,3 +174,22 @@
     CHECK(isOk(complete));
     checkResults(valueOf(complete), 20);
 }
+
+// Guards against a job that is called certainly not stored, though an earlier submission has got as
+// far as its items and may have stored it.
+TEST(JobStore, EarlierSubmissionMakesARefusalUncertain)
+{
+    const auto deadline = clock.now() + std::chrono::hours{1};
+    JobItem tooLarge = itemOf("item-0");
+    tooLarge.body = std::string(2 * MaxObjectBytes, 'x');
+    const auto refused = await(store.create(newRecord(1), {tooLarge}, deadline));
+    CHECK_FALSE(isOk(refused));
+    LONGS_EQUAL(static_cast<int>(ErrorCode::Unavailable), static_cast<int>(errorOf(refused).code));
+    SpaceObject earlier;
+    earlier.name = "job-1.0";
+    CHECK(isOk(await(space->create("pistachiofall-items", earlier))));
+    const auto uncertain = await(store.create(newRecord(1), {itemOf("item-0")}, clock.now()));
+    CHECK_FALSE(isOk(uncertain));
+    LONGS_EQUAL(static_cast<int>(ErrorCode::OutcomeUnknown),
+                static_cast<int>(errorOf(uncertain).code));
+}
