Sound work is tested within the bound after many ends, too

Cause: after the fifth end a part of a prompt was held back for a minute, to keep BUDGET's bound on requests with a part that ends servers. That bound allows three requests after the fifth end; they were not used. Change: up to the seventh end a test follows after half of the bound. The request under which the fewest servers have ended tests first, at whichever instance it waits (wantedEnds in reports). A test is not preempted. The quarantine uses the clock that includes the time of a suspended machine. After the eighth end the part is held back for 15 minutes. Tests: OneRequestTestsThePartAfterTheQuarantine asserted the minute after the fifth end. It asserts now that each of the four tests comes within the bound, and that none follows the eighth end for ten minutes; WaitsAreBoundedAndTestsAreFew counts the tests of ten minutes, not of one, against the same bound.

--- a/src/fleet/promptquarantine.cpp
+++ b/src/fleet/promptquarantine.cpp
@@ -20,15 +20,15 @@
 // Ends that are closer in time count as one: endpoints also end together for reasons of their own,
 // such as a loss of power, and a popular part is then in use at all of them.
 constexpr milliseconds MinEndDistance{400};
-// The quarantines after so many ends and after one more, as parts of the time for which work may be
-// held back. The rest is for the turns of the testers and for the run.
+// The quarantines after so many ends and after each further one, as parts of the time for which
+// work may be held back. The rest is for the turns of the testers and for the run.
 constexpr int FirstQuarantineDivisor = 3;
-constexpr int SecondQuarantineDivisor = 2;
-// With five ends in a row the part is not taken for sound any more: few requests with it may reach
-// endpoints after that. This quarantine doubles with each failed test.
-constexpr seconds LongQuarantine{60};
-constexpr std::size_t MaxDoublings = 4;
-// A test without an outcome for this long, such as one that was preempted, is no longer waited for.
+constexpr int FurtherQuarantineDivisor = 2;
+// Three requests with a part that ends endpoints may reach them after the fifth end. With so many
+// ends the part is not taken for sound any more.
+constexpr std::size_t EndsBeforeLongQuarantine = 8;
+constexpr seconds LongQuarantine{900};
+// A test without an outcome for this long is no longer waited for.
 constexpr milliseconds TestTimeout{3000};
 // The time after which the next tester takes its turn. The outcome of a test is known by then.
 constexpr milliseconds TestTurn{1500};
@@ -155,15 +155,20 @@
     const std::size_t ends = countUnexplained(suspect, {});
     if (ends <= EndsBeforeQuarantine)
         return last + m_holdBound / FirstQuarantineDivisor;
-    if (ends == EndsBeforeQuarantine + 1)
-        return last + m_holdBound / SecondQuarantineDivisor;
-    const std::size_t doublings = std::min(ends - EndsBeforeQuarantine - 2, MaxDoublings);
-    return last + LongQuarantine * (1U << doublings);
+    if (ends < EndsBeforeLongQuarantine)
+        return last + m_holdBound / FurtherQuarantineDivisor;
+    return last + LongQuarantine;
 }
 
-// The number of instances that test the part before this one. The order differs from test to test,
-// so that no instance is the last each time.
-std::size_t PromptQuarantine::testersBefore(PromptPart part, const Suspect &suspect,
+bool PromptQuarantine::Wanted::isRecent(SteadyTime now) const
+{
+    return now - time <= WantedTtl;
+}
+
+// The number of testers before a request of this instance, by the endpoints that ended under their
+// requests, and among equals by a hash. That order differs from test to test, so that no instance
+// is the last each time.
+std::size_t PromptQuarantine::testersBefore(PromptPart part, const Suspect &suspect, int ends,
                                             SteadyTime now) const
 {
     const std::string key =
@@ -172,15 +177,19 @@
     const auto count = std::count_if(
             suspect.wantedByPeers.begin(), suspect.wantedByPeers.end(), [&](const auto &each) {
                 const auto &[peer, wanted] = each;
-                return now - wanted <= WantedTtl && rendezvousRank(key, peer) < own;
+                return wanted.isRecent(now)
+                        && std::tuple(wanted.ends, rendezvousRank(key, peer))
+                        < std::tuple(ends, own);
             });
-    return static_cast<std::size_t>(count);
+    const bool hasBetter =
+            suspect.wanted && suspect.wanted->isRecent(now) && suspect.wanted->ends < ends;
+    return static_cast<std::size_t>(count) + (hasBetter ? 1 : 0);
 }
 
-SteadyTime PromptQuarantine::mayTestFrom(PromptPart part, const Suspect &suspect,
+SteadyTime PromptQuarantine::mayTestFrom(PromptPart part, const Suspect &suspect, int ends,
                                          SteadyTime now) const
 {
-    const auto turns = std::min(testersBefore(part, suspect, now), MaxTestTurns);
+    const auto turns = std::min(testersBefore(part, suspect, ends, now), MaxTestTurns);
     const SteadyTime turn = quarantineEnd(suspect) + TestTurn * static_cast<std::int64_t>(turns);
     const bool isTestOpen = suspect.tested && suspect.openEnds().back().time <= *suspect.tested;
     return isTestOpen ? std::max(turn, *suspect.tested + TestTimeout) : turn;
@@ -256,24 +265,24 @@
     return isSuspect ? updateQuarantined() : QuarantineChange{};
 }
 
-std::optional<PromptPart> PromptQuarantine::findQuarantined(const PromptParts &parts,
+std::optional<PromptPart> PromptQuarantine::findQuarantined(const PromptRequest &request,
                                                             SteadyTime now) const
 {
-    for (const PromptPart part : parts) {
+    for (const PromptPart part : request.parts) {
         const auto found = m_suspects.find(part);
         if (found != m_suspects.end() && found->second.isQuarantined
-            && now < mayTestFrom(part, found->second, now))
+            && now < mayTestFrom(part, found->second, request.ends, now))
             return part;
     }
     return std::nullopt;
 }
 
-std::optional<PromptPart> PromptQuarantine::admit(const PromptParts &parts, SteadyTime now)
+std::optional<PromptPart> PromptQuarantine::admit(const PromptRequest &request, SteadyTime now)
 {
-    const auto quarantined = findQuarantined(parts, now);
+    const auto quarantined = findQuarantined(request, now);
     if (quarantined)
         return quarantined;
-    for (const PromptPart part : parts) {
+    for (const PromptPart part : request.parts) {
         const auto found = m_suspects.find(part);
         if (found != m_suspects.end() && found->second.isQuarantined)
             found->second.tested = now;
@@ -289,28 +298,40 @@
     });
 }
 
-bool PromptQuarantine::recordWanted(const PromptParts &parts, SteadyTime now)
+bool PromptQuarantine::recordWanted(const PromptRequest &request, SteadyTime now)
 {
     bool isNews = false;
-    for (const PromptPart part : parts) {
+    for (const PromptPart part : request.parts) {
         const auto found = m_suspects.find(part);
         if (found == m_suspects.end() || !found->second.isQuarantined)
             continue;
-        std::optional<SteadyTime> &wanted = found->second.wanted;
-        if (wanted && now - *wanted < WantedInterval)
+        std::optional<Wanted> &wanted = found->second.wanted;
+        const bool hasBetter = wanted && wanted->isRecent(now) && wanted->ends < request.ends;
+        const bool isKnown =
+                wanted && now - wanted->time < WantedInterval && wanted->ends == request.ends;
+        if (hasBetter || isKnown)
             continue;
-        wanted = now;
+        wanted = Wanted{now, request.ends};
         isNews = true;
     }
     return isNews;
 }
 
-milliseconds PromptQuarantine::remaining(PromptPart part, SteadyTime now) const
+milliseconds PromptQuarantine::remaining(PromptPart part, const PromptRequest &request,
+                                         SteadyTime now) const
 {
     const auto found = m_suspects.find(part);
     if (found == m_suspects.end() || !found->second.isQuarantined)
         return milliseconds{0};
-    return since(now, mayTestFrom(part, found->second, now));
+    return since(now, mayTestFrom(part, found->second, request.ends, now));
+}
+
+std::size_t PromptQuarantine::endsOf(PromptPart part) const
+{
+    const auto found = m_suspects.find(part);
+    if (found == m_suspects.end() || !found->second.isQuarantined)
+        return 0;
+    return countUnexplained(found->second, {});
 }
 
 std::vector<PromptPartReport> PromptQuarantine::reports(SteadyTime now) const
@@ -325,7 +346,8 @@
             report.ends.push_back({end.endpoint, since(end.time, now), end.isRepeated});
         if (const auto answered = m_ownAnswers.find(part))
             report.answeredAge = since(*answered, now);
-        report.isWanted = suspect.wanted && now - *suspect.wanted <= WantedTtl;
+        report.isWanted = suspect.wanted && suspect.wanted->isRecent(now);
+        report.wantedEnds = report.isWanted ? suspect.wanted->ends : 0;
         all.push_back(std::move(report));
     }
     // Of the parts of one prompt, a report that has no room for all names those that stand last.
@@ -359,7 +381,7 @@
             continue;
         found->second.answered = std::max(found->second.answered, m_peerAnswers.find(report.part));
         if (report.isWanted)
-            found->second.wantedByPeers[peer] = now;
+            found->second.wantedByPeers[peer] = {now, report.wantedEnds};
     }
     return reports.empty() ? QuarantineChange{} : updateQuarantined();
 }
@@ -374,7 +396,7 @@
         if (suspect.answered && now - *suspect.answered > AnsweredEndTtl)
             suspect.ends.erase(suspect.ends.begin(), suspect.ends.begin() + answeredEnds);
         std::erase_if(suspect.wantedByPeers,
-                      [now](const auto &each) { return now - each.second > WantedTtl; });
+                      [now](const auto &each) { return !each.second.isRecent(now); });
     }
     const std::size_t removed = std::erase_if(m_suspects, [now](const auto &each) {
         const auto &ends = each.second.ends;
--- a/src/fleet/promptquarantine.h
+++ b/src/fleet/promptquarantine.h
@@ -42,8 +42,18 @@
     std::vector<End> ends;
     /// The time since an endpoint last answered a request with the part; nothing if none is known.
     std::optional<std::chrono::milliseconds> answeredAge;
-    /// Whether the sender has requests with the part that it may not send.
+    /// Whether the sender has requests with the part that it may not send, and the fewest endpoints
+    /// that ended under one of them.
     bool isWanted = false;
+    int wantedEnds = 0;
+};
+
+/// A request as far as its prompt decides on it.
+struct PromptRequest
+{
+    const PromptParts &parts;
+    /// The endpoints that ended in a row before they answered this request.
+    int ends = 0;
 };
 
 /// What has changed by a record: the parts that are quarantined from now on, and those that no
@@ -68,7 +78,15 @@
 ///
 /// A quarantine ends after a while with one request as a test. The instances that hold requests
 /// with the part back tell each other so and test it in turn, so that each test is made by one that
-/// has something to send, and by the next one soon if the first does not come to it.
+/// has something to send, and by the next one soon if the first does not come to it. A request
+/// under which fewer endpoints have ended comes first: should another part of the others' prompts
+/// be to blame, it is the one that shows this part to be sound.
+///
+/// Two bounds hold. Work that can be done waits for a test for less than the hold bound, however
+/// many endpoints have ended. And of requests with a part that ends each endpoint, three are sent
+/// after the fifth end. Tests at intervals of half the bound, the first of them after the third
+/// end, keep both until the eighth end. By then the part has ended five endpoints in tests in which
+/// it was alone, and is not taken for sound any more.
 ///
 /// Which parts are quarantined follows from the ends and answers that are known, never from the
 /// order in which they became known: instances that know the same decide alike.
@@ -93,17 +111,20 @@
     QuarantineChange recordAnswer(const PromptParts &parts, SteadyTime now);
 
     /// The part for which a request with these parts must be rejected now, if any.
-    std::optional<PromptPart> findQuarantined(const PromptParts &parts, SteadyTime now) const;
+    std::optional<PromptPart> findQuarantined(const PromptRequest &request, SteadyTime now) const;
     /// As findQuarantined(), for a request that is sent now unless a part is returned. At the end
     /// of a quarantine one request is sent, whose outcome decides.
-    std::optional<PromptPart> admit(const PromptParts &parts, SteadyTime now);
+    std::optional<PromptPart> admit(const PromptRequest &request, SteadyTime now);
     /// Whether a request with these parts, if it is sent, is a test.
     bool isTest(const PromptParts &parts) const;
     /// A request with these parts is held back, or has been rejected. Returns whether peers are to
     /// be told.
-    bool recordWanted(const PromptParts &parts, SteadyTime now);
-    /// How long this instance sends no request with the part at least.
-    std::chrono::milliseconds remaining(PromptPart part, SteadyTime now) const;
+    bool recordWanted(const PromptRequest &request, SteadyTime now);
+    /// How long this instance does not send the request at least, for the part.
+    std::chrono::milliseconds remaining(PromptPart part, const PromptRequest &request,
+                                        SteadyTime now) const;
+    /// The number of ends of endpoints in a row for which the part is quarantined; 0 if it is not.
+    std::size_t endsOf(PromptPart part) const;
 
     /// What to tell peers: the quarantined parts, then the suspects with the newest ends. Of
     /// answers only those that this instance has seen, as the others tell theirs themselves.
@@ -119,6 +140,15 @@
     std::size_t quarantinedCount() const;
 
 private:
+    struct Wanted
+    {
+        SteadyTime time{};
+        /// The fewest endpoints that ended under one of the requests.
+        int ends = 0;
+
+        bool isRecent(SteadyTime now) const;
+    };
+
     struct Suspect
     {
         /// In the order of time. Those before the last answer don't count; they are kept for a
@@ -131,16 +161,17 @@
         bool isQuarantined = false;
         /// When this instance last sent a request as a test.
         std::optional<SteadyTime> tested;
-        /// When this instance, and when peers, last had requests that were held back.
-        std::optional<SteadyTime> wanted;
-        std::map<std::string, SteadyTime> wantedByPeers;
+        /// The requests that this instance, and that peers, have held back a short time ago.
+        std::optional<Wanted> wanted;
+        std::map<std::string, Wanted> wantedByPeers;
     };
 
     using Endpoints = std::set<std::uint64_t>;
 
     static std::size_t countUnexplained(const Suspect &suspect, const Endpoints &explained);
-    SteadyTime mayTestFrom(PromptPart part, const Suspect &suspect, SteadyTime now) const;
-    std::size_t testersBefore(PromptPart part, const Suspect &suspect, SteadyTime now) const;
+    SteadyTime mayTestFrom(PromptPart part, const Suspect &suspect, int ends, SteadyTime now) const;
+    std::size_t testersBefore(PromptPart part, const Suspect &suspect, int ends,
+                              SteadyTime now) const;
     SteadyTime quarantineEnd(const Suspect &suspect) const;
     Suspect &findOrAdd(PromptPart part);
     void addEnd(PromptPart part, std::size_t depth, const EndpointEnd &end);
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -144,6 +144,7 @@
     m_isStartingItems = true;
     giveUpItems();
     m_heldServices.clear();
+    m_heldItems = 0;
     ItemQueues queues = pendingItems();
     queues.startItems([this](const QueuedItem &item) { return startItem(item); });
     m_waitingItems = queues.counts();
@@ -234,9 +235,7 @@
 {
     const JobPtr &job = item.job;
     ItemProgress &progress = job->progress[item.index];
-    // An item with a quarantined part stays pending: it may be sound, or its part may be answered
-    // one day.
-    if (job->isReleased || m_dependencies.promptGuard.findRejection(progress.sharedParts))
+    if (job->isReleased || isHeldBack(item))
         return ItemQueues::Start::Done;
     PlacementRequest request;
     request.service = progress.service;
@@ -265,6 +264,24 @@
     return ItemQueues::Start::Done;
 }
 
+// An item with a quarantined part stays pending: it may be sound, and its part is tested now and
+// then. It is given up when its retention ends.
+bool JobRunner::isHeldBack(const QueuedItem &item)
+{
+    ItemProgress &progress = item.job->progress[item.index];
+    const auto wait = m_dependencies.promptGuard.findRejection(
+            {progress.sharedParts, progress.endedEndpoints});
+    if (wait && !progress.isHeldBack)
+        m_dependencies.log.warning("item_held_back",
+                                   {{"job", item.job->record.id},
+                                    {"item", item.job->items[item.index].id},
+                                    {"ended_endpoints", progress.endedEndpoints},
+                                    {"wait_ms", std::int64_t{wait->count()}}});
+    progress.isHeldBack = wait.has_value();
+    m_heldItems += wait ? 1 : 0;
+    return wait.has_value();
+}
+
 // The number of the present turn at endpoints. A turn lasts until the items started in the one
 // before are known everywhere in the failure domain.
 std::uint64_t JobRunner::batchTurn() const
@@ -295,6 +312,7 @@
     if (isConfirmed && m_dependencies.board.accepts(placement.endpoint.id, progress.service))
         co_await callEndpoint(job, index, placement);
     progress.call.reset();
+    progress.isTest = false;
     const std::string endpoint = std::exchange(progress.endpoint, {});
     progress.previousEndpoint = progress.isPreempted ? endpoint : std::string();
     if (progress.isPreempted)
@@ -361,7 +379,8 @@
     const JobItem &item = job->items[index];
     ItemProgress &progress = job->progress[index];
     const FleetEndpoint &endpoint = placement.endpoint;
-    if (m_dependencies.promptGuard.admit(item.id, progress.sharedParts))
+    progress.isTest = m_dependencies.promptGuard.isTest(progress.sharedParts);
+    if (m_dependencies.promptGuard.admit(item.id, {progress.sharedParts, progress.endedEndpoints}))
         co_return;
     ForwardingContext forwarding{item.id,     job->record.host,
                                  endpoint.id, job->record.organisation,
@@ -562,7 +581,7 @@
                 continue;
             if (progress.isPreempted)
                 --count;
-            else if (progress.call)
+            else if (progress.call && !progress.isTest)
                 running.push_back({rankOf(*job, progress), &progress});
         }
     }
@@ -584,6 +603,7 @@
 {
     MetricsRegistry &metrics = m_dependencies.metrics;
     metrics.gauge("jobs_owned").set(static_cast<std::int64_t>(m_jobs.size()));
+    metrics.gauge("items_held_back").set(static_cast<std::int64_t>(m_heldItems));
     for (const auto &[service, count] : m_waitingItems)
         m_waitingGauges[service] = &metrics.gauge("items_waiting", {{"service", service}});
     for (const auto &[service, gauge] : m_waitingGauges) {
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -98,6 +98,7 @@
     ItemRank rankOf(const OwnedJob &job, const ItemProgress &progress) const;
     std::uint64_t batchTurn() const;
     ItemQueues::Start startItem(const QueuedItem &item);
+    bool isHeldBack(const QueuedItem &item);
     void finishAsDead(const JobPtr &job, std::size_t index, std::string_view reason);
     boost::asio::awaitable<void> runItem(JobPtr job, std::size_t index, Placement placement);
     boost::asio::awaitable<void> callEndpoint(JobPtr job, std::size_t index, Placement placement);
@@ -131,6 +132,8 @@
     /// By service, as items of different services differ in size.
     std::map<std::string, ItemOrder> m_itemOrders;
     std::map<std::string, std::size_t> m_waitingItems;
+    /// The items that were ready to start and held back at the last attempt.
+    std::size_t m_heldItems = 0;
     /// Those of the services that had items waiting once.
     std::map<std::string, Gauge *> m_waitingGauges;
     bool m_isStopping = false;
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -153,7 +153,7 @@
     context.timer.emplace(executor);
     exchange.onCallerGone([&context] { context.caller.setDisconnected(); });
     if (const auto wait =
-                m_dependencies.promptGuard.findRejection(context.request.metadata.sharedParts))
+                m_dependencies.promptGuard.findRejection({context.request.metadata.sharedParts, 0}))
         context.refusal = SlotRefusal{SlotRefusalReason::Quarantined, *wait};
     const ActiveRequest active(m_active, context);
     while (mayRetry(context))
@@ -222,8 +222,9 @@
     }
     Attempt attempt(*this, context, std::get<Placement>(std::move(outcome)));
     // The part may have been quarantined while the request waited.
-    if (const auto wait = m_dependencies.promptGuard.admit(request.metadata.requestId,
-                                                           request.metadata.sharedParts)) {
+    if (const auto wait = m_dependencies.promptGuard.admit(
+                request.metadata.requestId,
+                {request.metadata.sharedParts, context.endedEndpoints})) {
         context.refusal = SlotRefusal{SlotRefusalReason::Quarantined, *wait};
         co_return;
     }
--- a/src/serving/ownedjob.h
+++ b/src/serving/ownedjob.h
@@ -51,6 +51,10 @@
     SteadyTime readySince{};
     /// The number of runs in a row during which the endpoint ended before it answered.
     int endedEndpoints = 0;
+    /// A part of the prompt is quarantined, so that the item is not sent.
+    bool isHeldBack = false;
+    /// The run tests a quarantined part of the prompt.
+    bool isTest = false;
     /// Forgets the output, so that the next run begins anew.
     void discardOutput();
 
--- a/src/serving/promptguard.cpp
+++ b/src/serving/promptguard.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr int MaxWantedEnds = std::numeric_limits<std::uint8_t>::max();
 constexpr std::uint32_t NeverAnswered = std::numeric_limits<std::uint32_t>::max();
 
 std::string toText(PromptPart part)
@@ -47,27 +48,35 @@
 { }
 
 // Returns the time after which to try again.
-milliseconds PromptGuard::reject(const PromptParts &parts, PromptPart part)
+milliseconds PromptGuard::reject(const PromptRequest &request, PromptPart part)
 {
-    const auto now = m_clock.now();
-    if (m_quarantine.recordWanted(parts, now))
+    const auto now = m_clock.bootNow();
+    const bool isNews = m_quarantine.recordWanted(request, now);
+    const milliseconds wait = m_quarantine.remaining(part, request, now);
+    if (isNews) {
+        m_log.info("prompt_part_held",
+                   {{"part", toText(part)},
+                    {"ends", std::uint64_t{m_quarantine.endsOf(part)}},
+                    {"own_ends", request.ends},
+                    {"wait_ms", std::int64_t{wait.count()}}});
         m_onChange();
-    return m_quarantine.remaining(part, now);
+    }
+    return wait;
 }
 
-std::optional<milliseconds> PromptGuard::findRejection(const PromptParts &parts)
+std::optional<milliseconds> PromptGuard::findRejection(const PromptRequest &request)
 {
-    const auto part = m_quarantine.findQuarantined(parts, m_clock.now());
+    const auto part = m_quarantine.findQuarantined(request, m_clock.bootNow());
     if (!part)
         return std::nullopt;
-    return reject(parts, *part);
+    return reject(request, *part);
 }
 
 std::optional<milliseconds> PromptGuard::admit(const std::string &requestId,
-                                               const PromptParts &parts)
+                                               const PromptRequest &request)
 {
-    const bool isTest = m_quarantine.isTest(parts);
-    const auto part = m_quarantine.admit(parts, m_clock.now());
+    const bool isTest = m_quarantine.isTest(request.parts);
+    const auto part = m_quarantine.admit(request, m_clock.bootNow());
     if (!part) {
         if (isTest)
             m_log.info("prompt_tested", {{"request", requestId}});
@@ -75,7 +84,7 @@
     }
     m_metrics.counter("prompts_rejected_total").add();
     m_log.warning("prompt_rejected", {{"request", requestId}, {"part", toText(*part)}});
-    return reject(parts, *part);
+    return reject(request, *part);
 }
 
 void PromptGuard::endpointEnded(const std::string &requestId, const PromptParts &parts,
@@ -86,14 +95,14 @@
     for (const PromptPart part : parts)
         m_log.info("prompt_part_suspected",
                    {{"request", requestId}, {"endpoint", endpoint.id}, {"part", toText(part)}});
-    logChange(m_quarantine.recordEnd(parts, {identify(endpoint), m_clock.now(), isRepeated}),
+    logChange(m_quarantine.recordEnd(parts, {identify(endpoint), m_clock.bootNow(), isRepeated}),
               "own");
     m_onChange();
 }
 
 void PromptGuard::answered(const PromptParts &parts)
 {
-    const QuarantineChange change = m_quarantine.recordAnswer(parts, m_clock.now());
+    const QuarantineChange change = m_quarantine.recordAnswer(parts, m_clock.bootNow());
     logChange(change, "own");
     if (!change.isEmpty())
         m_onChange();
@@ -109,11 +118,12 @@
 
 void PromptGuard::fillReport(wire::FleetReportT &report) const
 {
-    for (const PromptPartReport &part : m_quarantine.reports(m_clock.now())) {
+    for (const PromptPartReport &part : m_quarantine.reports(m_clock.bootNow())) {
         auto entry = std::make_unique<wire::PromptPartMarkT>();
         entry->part = part.part;
         entry->depth = static_cast<std::uint16_t>(part.depth);
         entry->isWanted = part.isWanted;
+        entry->wantedEnds = static_cast<std::uint8_t>(std::min(part.wantedEnds, MaxWantedEnds));
         entry->answeredAgeMs = part.answeredAge ? encodeAge(*part.answeredAge) : NeverAnswered;
         for (const PromptPartReport::End &end : part.ends)
             entry->ends.emplace_back(end.endpoint, encodeAge(end.age), end.isRepeated);
@@ -129,13 +139,14 @@
         part.part = entry->part;
         part.depth = entry->depth;
         part.isWanted = entry->isWanted;
+        part.wantedEnds = entry->wantedEnds;
         if (entry->answeredAgeMs != NeverAnswered)
             part.answeredAge = milliseconds{entry->answeredAgeMs};
         for (const wire::EndpointEndMark &end : entry->ends)
             part.ends.push_back({end.endpoint(), milliseconds{end.ageMs()}, end.isRepeated()});
         parts.push_back(std::move(part));
     }
-    logChange(m_quarantine.recordPeer(peer, parts, m_clock.now()), peer);
+    logChange(m_quarantine.recordPeer(peer, parts, m_clock.bootNow()), peer);
 }
 
 void PromptGuard::updateMetrics()
--- a/src/serving/promptguard.h
+++ b/src/serving/promptguard.h
@@ -32,11 +32,14 @@
     /// Sets what is called when there is news for the peers.
     void setOnChange(std::function<void()> onChange) { m_onChange = std::move(onChange); }
 
-    /// If requests with these parts are rejected now, the time after which to try again.
-    std::optional<std::chrono::milliseconds> findRejection(const PromptParts &parts);
-    /// As findRejection(), directly before a request with these parts is sent.
+    /// If the request is rejected now, the time after which to try again.
+    std::optional<std::chrono::milliseconds> findRejection(const PromptRequest &request);
+    /// As findRejection(), directly before the request is sent.
     std::optional<std::chrono::milliseconds> admit(const std::string &requestId,
-                                                   const PromptParts &parts);
+                                                   const PromptRequest &request);
+    /// Whether a request with these parts, if it is sent, tests one of them. Its outcome is waited
+    /// for by others.
+    bool isTest(const PromptParts &parts) const { return m_quarantine.isTest(parts); }
 
     /// The connection to the endpoint broke before it had begun to answer the request. isRepeated
     /// tells that the same request met this at another endpoint before.
@@ -48,14 +51,16 @@
     void fillReport(wire::FleetReportT &report) const;
     void handleReport(const std::string &peer, const wire::FleetReportT &report);
     /// Forgets what is old. To be called periodically.
-    void tick() { m_quarantine.removeExpired(m_clock.now()); }
+    void tick() { m_quarantine.removeExpired(m_clock.bootNow()); }
     /// Sets the gauges of the suspects.
     void updateMetrics();
 
 private:
-    std::chrono::milliseconds reject(const PromptParts &parts, PromptPart part);
+    std::chrono::milliseconds reject(const PromptRequest &request, PromptPart part);
     void logChange(const QuarantineChange &change, std::string_view source);
 
+    /// Asked for times with those in which the machine was suspended: a part is not held back for
+    /// longer because of them.
     const Clock &m_clock;
     DecisionLog &m_log;
     MetricsRegistry &m_metrics;
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -4169,6 +4169,7 @@
   uint32_t answeredAgeMs = 0;
   std::vector<pistachiofall::wire::EndpointEndMark> ends{};
   bool isWanted = false;
+  uint8_t wantedEnds = 0;
 };
 
 struct PromptPartMark FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4180,7 +4181,8 @@
     VT_DEPTH = 6,
     VT_ANSWEREDAGEMS = 8,
     VT_ENDS = 10,
-    VT_ISWANTED = 12
+    VT_ISWANTED = 12,
+    VT_WANTEDENDS = 14
   };
   uint64_t part() const {
     return GetField<uint64_t>(VT_PART, 0);
@@ -4197,6 +4199,9 @@
   bool isWanted() const {
     return GetField<uint8_t>(VT_ISWANTED, 0) != 0;
   }
+  uint8_t wantedEnds() const {
+    return GetField<uint8_t>(VT_WANTEDENDS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_PART, 8) &&
@@ -4205,6 +4210,7 @@
            VerifyOffset(verifier, VT_ENDS) &&
            verifier.VerifyVector(ends()) &&
            VerifyField<uint8_t>(verifier, VT_ISWANTED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WANTEDENDS, 1) &&
            verifier.EndTable();
   }
   PromptPartMarkT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4231,6 +4237,9 @@
   void add_isWanted(bool isWanted) {
     fbb_.AddElement<uint8_t>(PromptPartMark::VT_ISWANTED, static_cast<uint8_t>(isWanted), 0);
   }
+  void add_wantedEnds(uint8_t wantedEnds) {
+    fbb_.AddElement<uint8_t>(PromptPartMark::VT_WANTEDENDS, wantedEnds, 0);
+  }
   explicit PromptPartMarkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4248,12 +4257,14 @@
     uint16_t depth = 0,
     uint32_t answeredAgeMs = 0,
     flatbuffers::Offset<flatbuffers::Vector<const pistachiofall::wire::EndpointEndMark *>> ends = 0,
-    bool isWanted = false) {
+    bool isWanted = false,
+    uint8_t wantedEnds = 0) {
   PromptPartMarkBuilder builder_(_fbb);
   builder_.add_part(part);
   builder_.add_ends(ends);
   builder_.add_answeredAgeMs(answeredAgeMs);
   builder_.add_depth(depth);
+  builder_.add_wantedEnds(wantedEnds);
   builder_.add_isWanted(isWanted);
   return builder_.Finish();
 }
@@ -4269,7 +4280,8 @@
     uint16_t depth = 0,
     uint32_t answeredAgeMs = 0,
     const std::vector<pistachiofall::wire::EndpointEndMark> *ends = nullptr,
-    bool isWanted = false) {
+    bool isWanted = false,
+    uint8_t wantedEnds = 0) {
   auto ends__ = ends ? _fbb.CreateVectorOfStructs<pistachiofall::wire::EndpointEndMark>(*ends) : 0;
   return pistachiofall::wire::CreatePromptPartMark(
       _fbb,
@@ -4277,7 +4289,8 @@
       depth,
       answeredAgeMs,
       ends__,
-      isWanted);
+      isWanted,
+      wantedEnds);
 }
 
 flatbuffers::Offset<PromptPartMark> CreatePromptPartMark(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartMarkT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7077,6 +7090,7 @@
   { auto _e = answeredAgeMs(); _o->answeredAgeMs = _e; }
   { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = *_e->Get(_i); } } }
   { auto _e = isWanted(); _o->isWanted = _e; }
+  { auto _e = wantedEnds(); _o->wantedEnds = _e; }
 }
 
 inline flatbuffers::Offset<PromptPartMark> PromptPartMark::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartMarkT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7092,13 +7106,15 @@
   auto _answeredAgeMs = _o->answeredAgeMs;
   auto _ends = _o->ends.size() ? _fbb.CreateVectorOfStructs(_o->ends) : 0;
   auto _isWanted = _o->isWanted;
+  auto _wantedEnds = _o->wantedEnds;
   return pistachiofall::wire::CreatePromptPartMark(
       _fbb,
       _part,
       _depth,
       _answeredAgeMs,
       _ends,
-      _isWanted);
+      _isWanted,
+      _wantedEnds);
 }
 
 inline LeavingEndpointT *LeavingEndpoint::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
