A call to an endpoint sends its request once

Cause: EndpointCall sent a request again by itself when a kept connection broke before the first byte of an answer, however long the run had lasted. Nothing was asked anew, and nobody counted the run. Change: a call sends once. A break within 250 ms of the request is marked as a stale connection. Requests count it as an attempt, and acquire a place, a share of the limit and the time left anew; items confirm their job and ask whether the endpoint still accepts them. The endpoint is not blamed for a stale connection, the parts of the prompt are. A request of which no byte was written has not been sent. Tests: StaleConnectionIsReplacedOnce and PlainService asserted the second send. In their place, the call is reported as stale and sent once, and the next call uses a new connection; LateBreakOfAKeptConnectionIsNotStale is new.

--- a/src/http/callfailure.h
+++ b/src/http/callfailure.h
@@ -32,6 +32,10 @@
     Error error;
     RequestSent sent = RequestSent::Possibly;
     CallStage stage = CallStage::Connect;
+    /// A kept connection broke right after the request was sent, before a byte of the answer. Most
+    /// likely the endpoint had closed it while it was idle, and has nothing wrong with it. The
+    /// request may have run all the same.
+    bool isStaleConnection = false;
 };
 
 /// Whether the connection broke after the request was sent, as it does when the endpoint ends.
--- a/src/http/calloptions.h
+++ b/src/http/calloptions.h
@@ -10,9 +10,9 @@
 
 /// Whether a request may run more than once.
 enum class Idempotency {
-    /// May use a pooled connection and is sent once more when that connection proves stale.
+    /// May use a pooled connection, which the endpoint may close as the request is on its way.
     Idempotent,
-    /// Always uses a fresh connection and is never sent again.
+    /// Always uses a fresh connection.
     NonIdempotent,
 };
 
--- a/src/http/endpointcall.cpp
+++ b/src/http/endpointcall.cpp
@@ -21,6 +21,9 @@
 // What writeTimeout refers to.
 constexpr std::size_t MinWriteProgress = 1024;
 constexpr unsigned MinErrorStatus = 400;
+// The endpoint's close of an idle connection that was on its way when the request was sent arrives
+// within a round trip. A later one has another reason.
+constexpr std::chrono::milliseconds MaxStaleTime{250};
 
 Error tooLong(std::size_t maxBytes)
 {
@@ -66,8 +69,7 @@
     // Of the body that readAll() has returned, as long as the call lives.
     BufferShare wholeBody;
     bool isPooled = false;
-    // The endpoint had closed the pooled connection, or did so while the request was on its way.
-    bool isStale = false;
+    HttpStream::TimePoint sentAt{};
 
     // Guards the two below, which cancel() uses.
     std::mutex mutex;
@@ -120,7 +122,8 @@
         if (isCancelled)
             error = {ErrorCode::Cancelled, "the call was cancelled"};
     }
-    isStale = isPooled && error.code == ErrorCode::OutcomeUnknown && !reader->hasAnyByte();
+    const bool isStale = isPooled && error.code == ErrorCode::OutcomeUnknown
+            && !reader->hasAnyByte() && steady_clock::now() - sentAt <= MaxStaleTime;
     if (error.code == ErrorCode::Cancelled)
         metrics.cancelled.add();
     else if (isStale)
@@ -133,7 +136,7 @@
         metrics.gapTimeouts.add();
     else
         metrics.firstByteTimeouts.add();
-    return {std::move(error), sent, stage};
+    return {std::move(error), sent, stage, isStale};
 }
 
 asio::awaitable<std::optional<CallFailure>> EndpointCall::Data::connect()
@@ -162,9 +165,12 @@
     if (!isOk(head))
         co_return fail(CallStage::Send, errorOf(head));
     sent = RequestSent::Possibly;
+    sentAt = steady_clock::now();
     detail::ProgressWindow window(options.writeTimeout, MinWriteProgress);
     const HttpStream::Buffers buffers{asio::buffer(valueOf(head)), asio::buffer(request->body)};
     const detail::IoOutcome outcome = co_await stream->write(buffers, window);
+    if (outcome.error && outcome.bytes == 0)
+        sent = RequestSent::Nothing;
     if (outcome.error == asio::error::timed_out)
         co_return fail(CallStage::Send,
                        {ErrorCode::TimedOut, "the endpoint did not take the request in time"});
@@ -218,10 +224,7 @@
         if (!data.attach(pooled))
             co_return data.fail(CallStage::Connect, {});
         data.isPooled = true;
-        CallResult<AnswerHead> result = co_await data.exchange();
-        if (!data.isStale)
-            co_return result;
-        data.isPooled = false;
+        co_return co_await data.exchange();
     }
     std::optional<CallFailure> failure = co_await data.connect();
     if (failure)
--- a/src/http/endpointcall.h
+++ b/src/http/endpointcall.h
@@ -18,8 +18,10 @@
 struct ClientShared;
 }
 
-/// One request to an endpoint and its answer. One coroutine sends and reads; cancel() may be called
-/// from any thread. A call that is destroyed before its answer is complete closes its connection.
+/// One request to an endpoint and its answer. A call sends the request once: whether it may be sent
+/// again, and where, is for the caller to decide anew. One coroutine sends and reads; cancel() may
+/// be called from any thread. A call that is destroyed before its answer is complete closes its
+/// connection.
 class EndpointCall
 {
 public:
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -23,6 +23,9 @@
 {
     if (failure.stage == CallStage::Connect)
         return CallOutcome::ConnectFailed;
+    // Says nothing of the endpoint.
+    if (failure.isStaleConnection)
+        return CallOutcome::Cancelled;
     if (failure.error.code == ErrorCode::TimedOut)
         return CallOutcome::TimedOut;
     if (failure.error.code == ErrorCode::Cancelled)
--- a/src/serving/jobrunner.cpp
+++ b/src/serving/jobrunner.cpp
@@ -410,7 +410,9 @@
     const CallResult<AnswerHead> responseHead = co_await call->send();
     if (!isOk(responseHead)) {
         const CallFailure &failure = failureOf(responseHead);
-        recordInterruption(job, index, endpoint, endsConnection(failure), failure.error.message);
+        recordInterruption(
+                job, index, endpoint,
+                {failure.error.message, endsConnection(failure), failure.isStaleConnection});
         progress.notBefore = m_dependencies.clock.now() + retryDelay(job, index);
         co_return;
     }
@@ -437,9 +439,10 @@
             progress.discardOutput();
         const bool hasEnded = !isOk(piece) && endsConnection(failureOf(piece))
                 && output.eventCount() < PromptGuard::AnsweredEvents;
-        recordInterruption(job, index, endpoint, hasEnded,
-                           isOk(piece) ? "events malformed, too large, out of order or stalled"
-                                       : failureOf(piece).error.message);
+        recordInterruption(job, index, endpoint,
+                           {isOk(piece) ? "events malformed, too large, out of order or stalled"
+                                        : failureOf(piece).error.message,
+                            hasEnded});
         call->cancel();
         co_return;
     }
@@ -458,20 +461,22 @@
 
 // A run has failed at the endpoint, unless it was this instance that ended it.
 void JobRunner::recordInterruption(const JobPtr &job, std::size_t index,
-                                   const FleetEndpoint &endpoint, bool hasEndpointEnded,
-                                   std::string_view reason)
+                                   const FleetEndpoint &endpoint, const Interruption &interruption)
 {
     if (job->progress[index].isPreempted || job->isReleased)
         return;
-    if (hasEndpointEnded)
+    if (interruption.hasEndpointEnded)
         noteEndpointEnd(job, index, endpoint);
-    m_dependencies.board.recordFailure(endpoint.id, m_dependencies.clock.now());
-    noteAnswer(job->progress[index], endpoint, true, {});
+    if (!interruption.isStaleConnection) {
+        m_dependencies.board.recordFailure(endpoint.id, m_dependencies.clock.now());
+        noteAnswer(job->progress[index], endpoint, true, {});
+    }
     m_dependencies.log.warning("item_interrupted",
                                {{"job", job->record.id},
                                 {"item", job->items[index].id},
                                 {"endpoint", endpoint.id},
-                                {"reason", reason}});
+                                {"stale", interruption.isStaleConnection ? "yes" : "no"},
+                                {"reason", interruption.reason}});
 }
 
 void JobRunner::noteEndpointEnd(const JobPtr &job, std::size_t index, const FleetEndpoint &endpoint)
@@ -502,8 +507,8 @@
         const auto body = co_await progress.call->readRefusal();
         if (!isOk(body)) {
             // Does not tell whether the item has failed.
-            recordInterruption(job, index, endpoint, false,
-                               "broken failure response: " + failureOf(body).error.message);
+            const std::string reason = "broken failure response: " + failureOf(body).error.message;
+            recordInterruption(job, index, endpoint, {reason});
             co_return;
         }
     }
--- a/src/serving/jobrunner.h
+++ b/src/serving/jobrunner.h
@@ -108,8 +108,17 @@
     bool isConfirmed(const OwnedJob &job, std::chrono::milliseconds maxAge) const;
     void noteAnswer(const ItemProgress &progress, const FleetEndpoint &endpoint, bool isFailure,
                     std::chrono::duration<double> timePerEvent) const;
+    /// Why a run has ended before its answer was complete.
+    struct Interruption
+    {
+        std::string_view reason;
+        bool hasEndpointEnded = false;
+        /// As CallFailure::isStaleConnection.
+        bool isStaleConnection = false;
+    };
+
     void recordInterruption(const JobPtr &job, std::size_t index, const FleetEndpoint &endpoint,
-                            bool hasEndpointEnded, std::string_view reason);
+                            const Interruption &interruption);
     void noteEndpointEnd(const JobPtr &job, std::size_t index, const FleetEndpoint &endpoint);
     std::chrono::milliseconds retryDelay(const JobPtr &job, std::size_t index) const;
     boost::asio::awaitable<void> handleFailureResponse(JobPtr job, std::size_t index,
--- a/src/serving/onlineservice.cpp
+++ b/src/serving/onlineservice.cpp
@@ -356,9 +356,31 @@
         m_dependencies.promptGuard.endpointEnded(
                 context.request.metadata.requestId, context.request.metadata.sharedParts,
                 attempt.placement.endpoint, context.endedEndpoints++ > 0);
+    if (failure.isStaleConnection) {
+        noteStaleConnection(context, attempt, failure);
+        return;
+    }
     noteFailure(context, attempt, failure.error.message, isSent);
 }
 
+// Counts as a run if the request may have reached the endpoint. Nothing is held against the
+// endpoint, which may be chosen again.
+void OnlineService::noteStaleConnection(RequestContext &context, Attempt &attempt,
+                                        const CallFailure &failure)
+{
+    const bool mayHaveRun = failure.sent == RequestSent::Possibly;
+    ++(mayHaveRun ? context.possibleRuns : context.declinedAttempts);
+    context.lastFailure = "the kept connection was closed";
+    attempt.call.reset();
+    m_dependencies.metrics
+            .counter("attempts_failed_total", {{"ran", mayHaveRun ? "unknown" : "no"}})
+            .add();
+    m_dependencies.log.info("connection_stale",
+                            {{"request", context.request.metadata.requestId},
+                             {"endpoint", attempt.placement.endpoint.id},
+                             {"runs", context.possibleRuns}});
+}
+
 void OnlineService::noteFailure(RequestContext &context, Attempt &attempt, std::string_view reason,
                                 bool mayHaveRun)
 {
--- a/src/serving/onlineservice.h
+++ b/src/serving/onlineservice.h
@@ -81,6 +81,7 @@
     boost::asio::awaitable<void> respondWithFailure(ServerExchange &exchange,
                                                     RequestContext &context);
     void noteCallFailure(RequestContext &context, Attempt &attempt, const CallFailure &failure);
+    void noteStaleConnection(RequestContext &context, Attempt &attempt, const CallFailure &failure);
     void noteFailure(RequestContext &context, Attempt &attempt, std::string_view reason,
                      bool mayHaveRun);
     void noteAnswer(const RequestContext &context, const Attempt &attempt, bool isFailure) const;
--- a/standins/common/sealedengine.cpp
+++ b/standins/common/sealedengine.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::size_t EndlessPieceBytes = 1024;
 constexpr std::string_view CutHeadMode = "cut-head-";
+constexpr std::string_view LoseMode = "lose-";
 constexpr int EventsBeforeTrickle = 3;
 constexpr std::chrono::milliseconds TrickleGap{50};
 
@@ -140,6 +141,11 @@
         co_await staySilent(exchange);
         co_return;
     }
+    if (mode.starts_with(LoseMode)) {
+        co_await loseAnswer(exchange,
+                            std::chrono::milliseconds{std::stoi(mode.substr(LoseMode.size()))});
+        co_return;
+    }
     if (mode == "trickle") {
         co_await trickle(exchange, std::move(requestId));
         co_return;
@@ -193,6 +199,15 @@
     exchange.drop();
 }
 
+asio::awaitable<void> SealedEngine::loseAnswer(HttpExchange &exchange,
+                                               std::chrono::milliseconds after)
+{
+    co_await pause(after);
+    boost::system::error_code ignored;
+    exchange.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    exchange.socket().close(ignored);
+}
+
 // Sends events up to some point, and then bytes of the next one until the caller closes.
 asio::awaitable<void> SealedEngine::trickle(HttpExchange &exchange, std::string requestId)
 {
--- a/standins/common/sealedengine.h
+++ b/standins/common/sealedengine.h
@@ -25,6 +25,7 @@
 ///   request on the connection;
 /// - silent: not at all, with the connection open until the caller closes;
 /// - close: without a length or chunks, up to the end of the connection;
+/// - lose-N: not at all; the connection is reset after N ms;
 /// - trickle: with some events, and then with a byte now and then that completes none;
 /// - cut-head-N: with the first N bytes of the head, then the end of the connection;
 /// - endless-head, endless-interim, endless-events, endless-bytes: with header fields, interim
@@ -60,6 +61,8 @@
     boost::asio::awaitable<void> run(HttpExchange &exchange, std::string requestId);
     boost::asio::awaitable<void> trickle(HttpExchange &exchange, std::string requestId);
     boost::asio::awaitable<void> staySilent(HttpExchange &exchange);
+    boost::asio::awaitable<void> loseAnswer(HttpExchange &exchange,
+                                            std::chrono::milliseconds after);
     boost::asio::awaitable<void> writePartOfHead(HttpExchange &exchange,
                                                  const std::string &requestId, std::size_t bytes);
     boost::asio::awaitable<void> writeEndless(HttpExchange &exchange, std::string requestId,
--- a/tests/http/rawendpoint.cpp
+++ b/tests/http/rawendpoint.cpp
@@ -189,6 +189,7 @@
             return;
         const std::string requestId = fieldOf(request, "Request-Id: ");
         const Answer answer = takeAnswer(std::move(request));
+        std::this_thread::sleep_for(answer.pause);
         sendPieces(socket, answer, requestId);
         if (answer.resetsAfterwards) {
             std::this_thread::sleep_for(PieceGap);
--- a/tests/http/rawendpoint.h
+++ b/tests/http/rawendpoint.h
@@ -3,6 +3,7 @@
 #include "base/socketaddress.h"
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <mutex>
 #include <string>
@@ -23,6 +24,8 @@
         bool resetsAfterwards = false;
         /// Sends the answer when a part of the request has come, and reads no more of it.
         bool comesEarly = false;
+        /// The time before anything is sent, or the connection closed.
+        std::chrono::milliseconds pause{0};
     };
 
     /// The first request gets the first answer and so on; the last one repeats.
--- a/tests/system/spacefleet.h
+++ b/tests/system/spacefleet.h
@@ -51,6 +51,7 @@
     /// Lets the endpoint say in all its answers that it leaves.
     void announceLeaving(const std::string &id);
     ChildProcess &endpoint(const std::string &id);
+    std::uint16_t endpointPort(const std::string &id) const { return m_endpointPorts.at(id); }
     void unregisterEndpoint(const std::string &id);
     /// Marks the endpoint's entry as draining.
     void drainEndpoint(const std::string &id);
