--- a/src/fleet/promptquarantine.cpp
+++ b/src/fleet/promptquarantine.cpp
@@ -20,6 +20,9 @@
 // Ends that are closer in time count as one: endpoints also end together for reasons of their own,
 // such as a loss of power, and a popular part is then in use at all of them.
 constexpr milliseconds MinEndDistance{400};
+// So many of the ends that are close in time count as ends by the part when it is asked how many
+// requests with it may still be sent.
+constexpr std::size_t MaxJointEnds = 3;
 // The quarantines after so many ends and after each further one, as parts of the time for which
 // work may be held back. The rest is for the turns of the testers and for the run.
 constexpr int FirstQuarantineDivisor = 3;
@@ -33,6 +36,9 @@
 // The time after which the next tester takes its turn. The outcome of a test is known by then.
 constexpr milliseconds TestTurn{1500};
 constexpr std::size_t MaxTestTurns = 3;
+// A tester has told the others for this long that it has a request, so that not two of them test at
+// once. Items have waited for longer by then; of callers' requests, a later one tests.
+constexpr milliseconds AnnouncementTime{500};
 // An instance wants a part for this long after it held a request with it back.
 constexpr seconds WantedTtl{3};
 // Peers are told again that the part is wanted before they forget it.
@@ -149,15 +155,32 @@
     return change;
 }
 
+// The number of endpoints that the part is taken to have ended. Of many that ended together, such
+// as by a loss of power, only a few count.
+std::size_t PromptQuarantine::countEnded(const Suspect &suspect)
+{
+    std::size_t total = 0;
+    std::size_t together = 0;
+    SteadyTime first{};
+    for (const EndpointEnd &end : suspect.openEnds()) {
+        if (together == 0 || end.time - first >= MinEndDistance) {
+            together = 0;
+            first = end.time;
+        }
+        ++together;
+        total += together <= MaxJointEnds ? 1 : 0;
+    }
+    return total;
+}
+
 SteadyTime PromptQuarantine::quarantineEnd(const Suspect &suspect) const
 {
     const SteadyTime last = suspect.openEnds().back().time;
-    const std::size_t ends = countUnexplained(suspect, {});
-    if (ends <= EndsBeforeQuarantine)
+    if (countEnded(suspect) >= EndsBeforeLongQuarantine)
+        return last + LongQuarantine;
+    if (countUnexplained(suspect, {}) <= EndsBeforeQuarantine)
         return last + m_holdBound / FirstQuarantineDivisor;
-    if (ends < EndsBeforeLongQuarantine)
-        return last + m_holdBound / FurtherQuarantineDivisor;
-    return last + LongQuarantine;
+    return last + m_holdBound / FurtherQuarantineDivisor;
 }
 
 bool PromptQuarantine::Wanted::isRecent(SteadyTime now) const
@@ -190,7 +213,11 @@
                                          SteadyTime now) const
 {
     const auto turns = std::min(testersBefore(part, suspect, ends, now), MaxTestTurns);
-    const SteadyTime turn = quarantineEnd(suspect) + TestTurn * static_cast<std::int64_t>(turns);
+    const bool isAnnounced = suspect.wanted && suspect.wanted->isRecent(now);
+    const SteadyTime announced = isAnnounced ? suspect.wanted->since : now;
+    const SteadyTime turn =
+            std::max(quarantineEnd(suspect) + TestTurn * static_cast<std::int64_t>(turns),
+                     announced + AnnouncementTime);
     const bool isTestOpen = suspect.tested && suspect.openEnds().back().time <= *suspect.tested;
     return isTestOpen ? std::max(turn, *suspect.tested + TestTimeout) : turn;
 }
@@ -311,7 +338,8 @@
                 wanted && now - wanted->time < WantedInterval && wanted->ends == request.ends;
         if (hasBetter || isKnown)
             continue;
-        wanted = Wanted{now, request.ends};
+        const bool goesOn = wanted && wanted->isRecent(now);
+        wanted = Wanted{now, request.ends, goesOn ? wanted->since : now};
         isNews = true;
     }
     return isNews;
@@ -381,7 +409,7 @@
             continue;
         found->second.answered = std::max(found->second.answered, m_peerAnswers.find(report.part));
         if (report.isWanted)
-            found->second.wantedByPeers[peer] = {now, report.wantedEnds};
+            found->second.wantedByPeers[peer] = {now, report.wantedEnds, now};
     }
     return reports.empty() ? QuarantineChange{} : updateQuarantined();
 }
--- a/src/fleet/promptquarantine.h
+++ b/src/fleet/promptquarantine.h
@@ -85,8 +85,9 @@
 /// Two bounds hold. Work that can be done waits for a test for less than the hold bound, however
 /// many endpoints have ended. And of requests with a part that ends each endpoint, three are sent
 /// after the fifth end. Tests at intervals of half the bound, the first of them after the third
-/// end, keep both until the eighth end. By then the part has ended five endpoints in tests in which
-/// it was alone, and is not taken for sound any more.
+/// end, keep both until the eighth end, when the part is not taken for sound any
+/// more. An instance tells the others of its request some time before it tests, so that no two of
+/// them test at once.
 ///
 /// Which parts are quarantined follows from the ends and answers that are known, never from the
 /// order in which they became known: instances that know the same decide alike.
@@ -145,6 +146,8 @@
         SteadyTime time{};
         /// The fewest endpoints that ended under one of the requests.
         int ends = 0;
+        /// Since when there has been such a request all the while.
+        SteadyTime since{};
 
         bool isRecent(SteadyTime now) const;
     };
@@ -168,6 +171,7 @@
 
     using Endpoints = std::set<std::uint64_t>;
 
+    static std::size_t countEnded(const Suspect &suspect);
     static std::size_t countUnexplained(const Suspect &suspect, const Endpoints &explained);
     SteadyTime mayTestFrom(PromptPart part, const Suspect &suspect, int ends, SteadyTime now) const;
     std::size_t testersBefore(PromptPart part, const Suspect &suspect, int ends,
--- a/tests/fleet/promptquarantinetest.cpp
+++ b/tests/fleet/promptquarantinetest.cpp
@@ -98,6 +98,12 @@
     {
         exchangeAt(from, to, now);
     }
+    // Whether an instance that has held the request back for a while sends it now.
+    static bool isSent(PromptQuarantine & at, const PromptRequest &request, SteadyTime time)
+    {
+        at.recordWanted(request, time - seconds{1});
+        return !at.admit(request, time).has_value();
+    }
     void exchangeAt(const PromptQuarantine &from, PromptQuarantine &to, SteadyTime time)
     {
         if (&from != &to)
@@ -213,8 +219,8 @@
     endEndpoints(3, {Harmful});
     CHECK(isRejected({Harmful}));
     now += HoldBound / 3;
-    CHECK(!quarantine.admit({{Harmful}}, now).has_value());
-    CHECK(quarantine.admit({{Harmful}}, now).has_value());
+    CHECK(isSent(quarantine, {{Harmful}}, now));
+    CHECK_FALSE(isSent(quarantine, {{Harmful}}, now));
     now += seconds{1};
     quarantine.recordEnd({Harmful}, {nextEndpoint++, now});
     now += HoldBound / 3;
@@ -224,13 +230,13 @@
     for (int test = 0; test < 4; ++test) {
         CHECK(quarantine.remaining(Harmful, {{Harmful}}, now) < HoldBound);
         now += quarantine.remaining(Harmful, {{Harmful}}, now);
-        CHECK(!quarantine.admit({{Harmful}}, now).has_value());
+        CHECK(isSent(quarantine, {{Harmful}}, now));
         now += seconds{1};
         quarantine.recordEnd({Harmful}, {nextEndpoint++, now});
     }
     CHECK(quarantine.remaining(Harmful, {{Harmful}}, now) > minutes{10});
     now += quarantine.remaining(Harmful, {{Harmful}}, now);
-    CHECK(!quarantine.admit({{Harmful}}, now).has_value());
+    CHECK(isSent(quarantine, {{Harmful}}, now));
     quarantine.recordAnswer({Harmful}, now);
     CHECK(!quarantine.findQuarantined({{Harmful}}, now).has_value());
 }
@@ -241,9 +247,9 @@
 {
     endEndpoints(3, {Shared});
     now += HoldBound / 3;
-    CHECK(!quarantine.admit({{Shared}}, now).has_value());
+    CHECK(isSent(quarantine, {{Shared}}, now));
     now += seconds{3};
-    CHECK(!quarantine.admit({{Shared}}, now).has_value());
+    CHECK(isSent(quarantine, {{Shared}}, now));
 }
 
 // Guards against a test that is left to an instance which has no request to test with, is gone or
@@ -260,8 +266,7 @@
     // Each of them alone has a request, whatever the order by their names.
     for (PromptQuarantine *each : {&quarantine, &others[0], &others[1]}) {
         PromptQuarantine alone = *each;
-        alone.recordWanted({{Shared}}, now);
-        CHECK(!alone.findQuarantined({{Shared}}, now + HoldBound / 3).has_value());
+        CHECK(isSent(alone, {{Shared}}, now + HoldBound / 3));
     }
     // All have one, and tell each other so: one comes first, and the others follow only if it does
     // not.
@@ -274,7 +279,9 @@
             }
         }
     };
-    now += HoldBound / 3;
+    now += HoldBound / 3 - seconds{1};
+    tellEachOther();
+    now += seconds{1};
     tellEachOther();
     const auto countTesters = [&] {
         int count = 0;
@@ -427,14 +434,14 @@
         quarantine.recordEnd({Harmful, Shared}, {nextEndpoint++, now});
     }
     exchange(quarantine, peer);
-    now += HoldBound / 3 - milliseconds{100};
+    now += HoldBound / 3 - seconds{1};
     const PromptParts sound{Shared};
     const PromptParts harmful{Harmful, Shared};
     CHECK(quarantine.recordWanted({harmful, 3}, now));
     CHECK(peer.recordWanted({sound, 0}, now));
     exchange(quarantine, peer);
     exchange(peer, quarantine);
-    now += milliseconds{100};
+    now += seconds{1};
     CHECK(quarantine.findQuarantined({harmful, 3}, now).has_value());
     CHECK_FALSE(peer.findQuarantined({sound, 0}, now).has_value());
     // Also at one instance, whichever of them comes first.
@@ -444,6 +451,44 @@
     CHECK(quarantine.remaining(Shared, {harmful, 3}, now) < seconds{5});
 }
 
+// Guards against two requests with a harmful part that are sent at once, as both instances are the
+// only one that they know to have one.
+TEST(PromptQuarantine, RequestsThatArriveTogetherAreNotBothTests)
+{
+    PromptQuarantine peer{"b"};
+    endEndpoints(3, {Harmful});
+    exchange(quarantine, peer);
+    now += HoldBound / 3;
+    const PromptParts parts{Harmful};
+    for (PromptQuarantine *each : {&quarantine, &peer}) {
+        CHECK(each->admit({parts}, now).has_value());
+        CHECK(each->recordWanted({parts}, now));
+    }
+    exchange(quarantine, peer);
+    exchange(peer, quarantine);
+    now += seconds{1};
+    const bool isOwn = !quarantine.admit({parts}, now).has_value();
+    const bool isPeers = !peer.admit({parts}, now).has_value();
+    CHECK(isOwn != isPeers);
+}
+
+// Guards against a sound part that is held back for long since many endpoints ended together with
+// it, and against a harmful one of whose ends those that were close in time are forgotten.
+TEST(PromptQuarantine, OfEndsTogetherAFewUseUpTests)
+{
+    for (int endpoint = 0; endpoint < 20; ++endpoint)
+        quarantine.recordEnd({Shared}, {nextEndpoint++, now + milliseconds{10} * endpoint});
+    endEndpoints(2, {Shared});
+    CHECK(quarantine.remaining(Shared, {{Shared}}, now) > seconds{3});
+    CHECK(quarantine.remaining(Shared, {{Shared}}, now) < HoldBound);
+    for (int pair = 0; pair < 4; ++pair) {
+        now += seconds{1};
+        quarantine.recordEnd({Harmful}, {nextEndpoint++, now});
+        quarantine.recordEnd({Harmful}, {nextEndpoint++, now});
+    }
+    CHECK(quarantine.remaining(Harmful, {{Harmful}}, now) > minutes{10});
+}
+
 // Guards against memory that grows with the parts, and against parts that are never forgotten.
 TEST(PromptQuarantine, IsBoundedAndForgets)
 {
