--- a/src/cli/callerapi.cpp
+++ b/src/cli/callerapi.cpp
@@ -46,7 +46,7 @@
     return message;
 }
 
-// Returns an error with the message of the JSON body, or with the status if there is no message.
+// The text of a field, if the object has it as a string.
 std::optional<std::string> textOf(const boost::json::object &object, std::string_view field)
 {
     const auto *value = object.if_contains(boost::json::string_view(field.data(), field.size()));
@@ -55,6 +55,7 @@
     return std::string(value->get_string());
 }
 
+// An error with the message of the JSON body, or with the status if there is no message.
 // OutcomeUnknown if the answer says that the call may have had an effect.
 Error errorOfAnswer(unsigned status, const std::string &body)
 {
