The test of many ends shows that the item was held back

Cause: once, beside other tests, system.heldpart SoundItemsAreSentAgainAfterManyEnds ended ten seconds early. An endpoint may have answered before it was ended (presumed, not traced); the run then tested no hold, and passed. Change: the test asks the owner whether the item is held back after the fifth end, and fails if it is not. Events are 400 ms apart in place of 250, so that an endpoint is ended before its third event on a busy machine, too.

--- a/tests/system/heldparttest.cpp
+++ b/tests/system/heldparttest.cpp
@@ -21,6 +21,8 @@
 constexpr int ManyEnds = 5;
 // Work that can be done is not held back for longer beside idle endpoints (finish_s).
 constexpr seconds FinishTime{18};
+// After an end, the item is ready again and held back within this time.
+constexpr seconds HoldTime{5};
 
 // A fleet whose endpoints take long to their first event, so that one can be ended before it.
 class CoincidentEnds
@@ -69,13 +71,15 @@
         return m_fleet.call(1, "GET", target, "read").contains("\"next\":1");
     }
 
+    bool holdsBackItem(int instance) { return m_fleet.metric(instance, "items_held_back") == 1; }
+
     SpaceFleet &fleet() { return m_fleet; }
 
 private:
     void startEndpoint()
     {
         const std::string id = "i-" + std::to_string(++m_started);
-        m_fleet.startEndpoint(id, {"--event-gap-ms", "250", "--events", "6"});
+        m_fleet.startEndpoint(id, {"--event-gap-ms", "400", "--events", "6"});
         m_running.push_back(id);
     }
 
@@ -129,6 +133,8 @@
     const auto begin = steady_clock::now();
     ends.submit(1, "job-1", "aa00");
     ends.submit(2, "job-2", "aa00");
+    // It would not be if an endpoint had answered before it was ended.
+    CHECK(waitUntil(HoldTime, [&ends] { return ends.holdsBackItem(0); }));
     for (const char *job : {"job-0", "job-1", "job-2"}) {
         const auto left = FinishTime - (steady_clock::now() - begin);
         CHECK(waitUntil(std::chrono::duration_cast<milliseconds>(left),
