The first ends of system.heldpart are waited for as before

Cause: with the test of many ends the time in which an item is sent to its next endpoint had become 18 s in place of 10 s for the first three ends, too, in all tests of the file: less strict than before. Change: 10 s again until the part is quarantined; finish_s, 18 s, only after that.

--- a/tests/system/heldparttest.cpp
+++ b/tests/system/heldparttest.cpp
@@ -21,6 +21,8 @@
 constexpr int ManyEnds = 5;
 // Work that can be done is not held back for longer beside idle endpoints (finish_s).
 constexpr seconds FinishTime{18};
+// Before its part is quarantined, an item is sent within this time.
+constexpr seconds FirstSendTime{10};
 // After an end, the item is ready again and held back within this time.
 constexpr seconds HoldTime{5};
 
@@ -48,11 +50,12 @@
         CHECK_EQUAL(202U, m_fleet.call(instance, "POST", "/batch/j", job, body).status);
     }
 
-    // Ends the endpoint that has the item, and starts another one in its place.
-    void endEndpointOf(const std::string &job)
+    // Ends the endpoint that has the item, and starts another one in its place. The item is sent
+    // within the time.
+    void endEndpointOf(const std::string &job, seconds sendTime = FirstSendTime)
     {
         std::string holder;
-        CHECK(waitUntil(FinishTime, [&] {
+        CHECK(waitUntil(sendTime, [&] {
             for (const std::string &id : m_running) {
                 if (m_fleet.seen(id).find("item-" + job + "=") != std::string::npos)
                     holder = id;
@@ -129,7 +132,7 @@
     CoincidentEnds ends;
     ends.submit(0, "job-0", "aa00");
     for (int end = 0; end < ManyEnds; ++end)
-        ends.endEndpointOf("job-0");
+        ends.endEndpointOf("job-0", end < Ends ? FirstSendTime : FinishTime);
     const auto begin = steady_clock::now();
     ends.submit(1, "job-1", "aa00");
     ends.submit(2, "job-2", "aa00");
